--- a/crates/raildale-core/src/fleet_message.rs
+++ b/crates/raildale-core/src/fleet_message.rs
@@ -67,6 +67,9 @@
     /// Data centres, to which agents refer by place.
     #[prost(string, repeated, tag = "5")]
     pub data_centres: Vec<String>,
+    /// Connections that the origin accepts from all agents together.
+    #[prost(uint32, tag = "6")]
+    pub origin_connections: u32,
 }
 
 /// A version and how long ago it was named.
--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -116,9 +116,13 @@
     pub named_ms: u64,
 }
 
-/// A named version becomes the oldest that may start this much before its
-/// bound: a request may wait in its target's queue before it starts.
-const VERSION_MARGIN_MS: u64 = 900;
+/// Nothing is sent to an older version this long before its bound: a request
+/// may wait on a slow link and in its target's queue before it starts.
+const SEND_MARGIN_MS: u64 = 1_000;
+
+/// What has not begun at an older version this long before its bound is
+/// withdrawn.
+const WITHDRAW_MARGIN_MS: u64 = 450;
 
 /// Milliseconds between two looks for a target that has room.
 const LOOK_AGAIN_MS: u64 = 20;
@@ -200,8 +204,14 @@
         self.versions.iter().map(|(model, named)| (model, named.as_slice()))
     }
 
-    /// The lowest version of a model that may still start work.
-    pub fn least_version(&self, now_ms: u64, model: &str) -> u64 {
+    /// The lowest version of a model that may still start work `ahead_ms`
+    /// from now.
+    pub fn least_version(
+        &self,
+        now_ms: u64,
+        model: &str,
+        ahead_ms: u64,
+    ) -> u64 {
         let bound_ms = self.config.version_ms;
         let Some(named) = self.versions.get(model) else { return 0 };
         if bound_ms == 0 {
@@ -209,7 +219,7 @@
         }
         named
             .iter()
-            .filter(|v| v.named_ms + bound_ms <= now_ms + VERSION_MARGIN_MS)
+            .filter(|v| v.named_ms + bound_ms <= now_ms + ahead_ms)
             .map(|v| v.version)
             .max()
             .unwrap_or(0)
@@ -276,7 +286,9 @@
         let needs_weights = engine.is_some_and(|e| e.layer_count > 0);
         let model = request.model.as_deref();
         let least_version =
-            model.map_or(0, |model| self.least_version(now_ms, model));
+            model.map_or(0, |model| {
+                self.least_version(now_ms, model, SEND_MARGIN_MS)
+            });
         let need = Need {
             service: &request.service.name,
             data_centre: &self.config.data_centre,
@@ -334,6 +346,23 @@
         }
     }
 
+    /// Whether a request that has not begun at a target must be taken back:
+    /// the version there is about to be too old to start.
+    pub fn is_too_old(
+        &self,
+        now_ms: u64,
+        request: &Admission,
+        target: &str,
+    ) -> bool {
+        let Some(model) = &request.model else { return false };
+        let least = self.least_version(now_ms, model, WITHDRAW_MARGIN_MS);
+        let serves = self
+            .targets
+            .get(target)
+            .and_then(|known| known.serves_version(now_ms));
+        serves.is_some_and(|version| version < least)
+    }
+
     /// Whether a target that has been silent about a request for
     /// `silent_ms` is given up: what may be repeated then goes elsewhere.
     pub fn is_lost(
--- a/crates/raildale-core/src/gateway/routes.rs
+++ b/crates/raildale-core/src/gateway/routes.rs
@@ -245,6 +245,14 @@
         self.routes.values().flatten()
     }
 
+    /// Connections that the origins of weights accept together.
+    pub fn origin_connections(&self) -> u32 {
+        self.services()
+            .filter(|service| service.origin.is_some())
+            .map(|service| service.max_connections)
+            .sum()
+    }
+
     /// Whether each stream that a service answers may go on elsewhere.
     pub fn is_resumable(&self, service: &str) -> bool {
         self.routes()
--- a/crates/raildale-core/src/swarm/reducer.rs
+++ b/crates/raildale-core/src/swarm/reducer.rs
@@ -71,6 +71,8 @@
         chunk_count: u32,
         /// Whether what runs may be cut and go on elsewhere.
         may_cut: bool,
+        /// Connections that the origin accepts from all agents together.
+        origin_connections: u32,
     },
     /// A version was named.
     Named {
@@ -203,6 +205,7 @@
     sources: Sources,
     chunk_count: usize,
     may_cut: bool,
+    origin_connections: usize,
     named: BTreeMap<u64, u64>,
     versions: BTreeMap<u64, Version>,
     target: TargetState,
@@ -235,6 +238,9 @@
 /// Versions kept: the one served and the one to come.
 const KEPT_VERSIONS: usize = 2;
 
+/// Transfers from the origin at once, however many connections it accepts.
+const ORIGIN_PARALLEL_MOST: usize = 4;
+
 /// Mismatches straight from the origin after which the manifest is doubted.
 const DOUBT_MANIFEST: u32 = 3;
 
@@ -247,6 +253,7 @@
             sources,
             chunk_count: 0,
             may_cut: false,
+            origin_connections: 0,
             named: BTreeMap::new(),
             versions: BTreeMap::new(),
             target: TargetState::default(),
@@ -283,9 +290,10 @@
         effects: &mut Vec<Effect>,
     ) {
         match event {
-            Event::Layout { chunk_count, may_cut } => {
+            Event::Layout { chunk_count, may_cut, origin_connections } => {
                 self.chunk_count = chunk_count as usize;
                 self.may_cut = may_cut;
+                self.origin_connections = origin_connections as usize;
             }
             Event::Named { version, named_ms } => {
                 self.named(version, named_ms, effects);
@@ -632,9 +640,8 @@
         for version in &needed {
             self.open(*version);
         }
-        let busy: usize = self.versions.values().map(Version::fetches).sum();
-        let mut free = self.config.parallel.saturating_sub(busy);
         let (rank, count) = self.sources.rank();
+        let mut room = self.room(count);
         for (number, held) in &mut self.versions {
             let is_needed = needed.contains(number);
             let ask_manifest = is_needed
@@ -647,6 +654,7 @@
                         Item::Manifest,
                         now_ms,
                         &self.sources,
+                        &mut room,
                         effects,
                     );
                 }
@@ -662,18 +670,36 @@
                         awaited == is_awaited && (awaited || is_needed);
                     let is_open = held.chunk(index).is_none()
                         && held.slots[index].fetch.is_none();
-                    if free == 0 || !is_due || !is_open {
+                    if room.all == 0 || !is_due || !is_open {
                         continue;
                     }
                     let item = Item::Chunk(index as u32);
-                    if start(held, item, now_ms, &self.sources, effects) {
-                        free -= 1;
-                    }
+                    start(
+                        held,
+                        item,
+                        now_ms,
+                        &self.sources,
+                        &mut room,
+                        effects,
+                    );
                 }
             }
         }
     }
 
+    /// Transfers that may still start, among `agents`.
+    fn room(&self, agents: usize) -> Room {
+        let busy: usize = self.versions.values().map(Version::fetches).sum();
+        let from_origin: usize =
+            self.versions.values().map(Version::fetches_from_origin).sum();
+        let most = self.origin_connections * 3 / 4 / agents.max(1);
+        let most = most.clamp(1, ORIGIN_PARALLEL_MOST);
+        Room {
+            all: self.config.parallel.saturating_sub(busy),
+            from_origin: most.saturating_sub(from_origin),
+        }
+    }
+
     /// Versions to fetch, oldest first. One that was overtaken is finished
     /// if most of it is here; else it is left out.
     fn needed_versions(&self, served: u64, wanted: u64) -> Vec<u64> {
@@ -776,25 +802,39 @@
     }
 }
 
-/// Asks for an item unless that is under way or has to wait.
+/// Transfers that may still start.
+#[derive(Clone, Copy, Debug)]
+struct Room {
+    all: usize,
+    from_origin: usize,
+}
+
+/// Asks for an item unless that is under way, has to wait or has no room.
 fn start(
     held: &mut Version,
     item: Item,
     now_ms: u64,
     sources: &Sources,
+    room: &mut Room,
     effects: &mut Vec<Effect>,
-) -> bool {
+) {
     let version = held.number;
-    let Some(slot) = held.slot_mut(item) else { return false };
+    let Some(slot) = held.slot_mut(item) else { return };
     if slot.fetch.is_some() || now_ms < slot.not_before_ms {
-        return false;
+        return;
     }
     let hops = slot.waiters.iter().map(|w| w.hops + 1).max().unwrap_or(0);
     let source = sources.pick(version, item, slot.failures, hops);
+    if source == Source::Origin {
+        if room.from_origin == 0 {
+            return;
+        }
+        room.from_origin -= 1;
+    }
+    room.all = room.all.saturating_sub(1);
     let until_ms = now_ms + FETCH_TIMEOUT_MS;
     slot.fetch = Some(Fetch { source, until_ms });
     effects.push(Effect::Fetch { version, item, source, hops });
-    true
 }
 
 fn pause_ms(failures: u32) -> u64 {
--- a/crates/raildale-core/src/swarm/sources.rs
+++ b/crates/raildale-core/src/swarm/sources.rs
@@ -35,6 +35,11 @@
     Origin,
 }
 
+/// Of this many tries one goes straight to the origin. With fewer, a fleet
+/// that starts empty runs the origin out of connections: each agent then
+/// asks it for everything.
+const STRAIGHT_EVERY: u32 = 4;
+
 /// The live agents, as one of them sees them.
 #[derive(Debug)]
 pub struct Sources {
@@ -107,7 +112,8 @@
             Item::Manifest => version as usize,
             Item::Chunk(index) => index as usize,
         };
-        if hops >= MOST_HOPS || failures >= 2 && failures % 2 == 0 {
+        let is_straight = failures % STRAIGHT_EVERY == STRAIGHT_EVERY - 1;
+        if hops >= MOST_HOPS || is_straight {
             return Source::Origin;
         }
         let turn = key + self.own_place() + failures as usize;
--- a/crates/raildale-core/src/swarm/version.rs
+++ b/crates/raildale-core/src/swarm/version.rs
@@ -121,8 +121,17 @@
         }
     }
 
-    /// Transfers under way.
+    /// Transfers of chunks under way.
     pub fn fetches(&self) -> usize {
         self.slots.iter().filter(|slot| slot.fetch.is_some()).count()
     }
+
+    /// Transfers from the origin under way, the manifest's among them.
+    pub fn fetches_from_origin(&self) -> usize {
+        std::iter::once(&self.manifest)
+            .chain(&self.slots)
+            .filter_map(|slot| slot.fetch)
+            .filter(|fetch| fetch.source == Source::Origin)
+            .count()
+    }
 }
--- a/crates/raildale/src/fleet/agent/reports.rs
+++ b/crates/raildale/src/fleet/agent/reports.rs
@@ -95,6 +95,7 @@
     let mut events = vec![Event::Layout {
         chunk_count: briefing.chunk_count,
         may_cut: briefing.may_cut,
+        origin_connections: briefing.origin_connections,
     }];
     let centres: Vec<Name> =
         briefing.data_centres.into_iter().map(Name::from).collect();
--- a/crates/raildale/src/fleet/agent/worker.rs
+++ b/crates/raildale/src/fleet/agent/worker.rs
@@ -286,7 +286,12 @@
             self.facts.model = engine.models.first().cloned();
             let chunk_count = engine.chunk_count;
             let may_cut = routing.is_resumable(&service.name);
-            self.take(Event::Layout { chunk_count, may_cut }).await;
+            let layout = Event::Layout {
+                chunk_count,
+                may_cut,
+                origin_connections: routing.origin_connections(),
+            };
+            self.take(layout).await;
         }
     }
 
--- a/crates/raildale/src/fleet/entry/peers.rs
+++ b/crates/raildale/src/fleet/entry/peers.rs
@@ -186,8 +186,16 @@
             service.engine.as_ref().is_some_and(|e| e.chunk_count > 0)
         })
         .flat_map(|service| {
-            let may_cut = routing.is_resumable(&service.name);
-            service_briefings(host, service, may_cut)
+            let terms = Briefing {
+                chunk_count: service
+                    .engine
+                    .as_ref()
+                    .map_or(0, |engine| engine.chunk_count),
+                may_cut: routing.is_resumable(&service.name),
+                origin_connections: routing.origin_connections(),
+                ..Briefing::default()
+            };
+            service_briefings(host, service, terms)
         })
         .collect()
 }
@@ -195,16 +203,10 @@
 fn service_briefings<P>(
     host: &EntryHost<P>,
     service: &Service,
-    may_cut: bool,
+    terms: Briefing,
 ) -> Vec<(IpAddr, Vec<u8>)> {
     let (agents, centres) = agents(host, service);
-    let short = Briefing {
-        chunk_count: service.engine.as_ref().map_or(0, |e| e.chunk_count),
-        may_cut,
-        versions: named(host, service),
-        agents: Vec::new(),
-        data_centres: Vec::new(),
-    };
+    let short = Briefing { versions: named(host, service), ..terms };
     let own_centre = &host.node.data_centre;
     let own_place = centres.iter().position(|c| c == own_centre);
     let full = Briefing {
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -334,7 +334,9 @@
                 silent_ms,
                 false,
             );
-            if is_lost {
+            let is_too_old =
+                gateway.is_too_old(now_ms(), &self.request, target);
+            if is_lost || is_too_old {
                 return None;
             }
         }
--- a/crates/raildale/src/http_client.rs
+++ b/crates/raildale/src/http_client.rs
@@ -10,6 +10,9 @@
     rt::TokioExecutor,
 };
 
+/// Connections to one peer that are kept at most.
+const KEPT_MOST: usize = 64;
+
 /// Why an answer did not come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -37,12 +40,21 @@
 impl HttpClient {
     /// A client whose connections leave from `bind_ip`, if there is one.
     pub fn new(bind_ip: Option<std::net::IpAddr>) -> HttpClient {
+        HttpClient::with_kept(bind_ip, KEPT_MOST)
+    }
+
+    /// A client that keeps `kept` connections to a peer at most.
+    pub fn with_kept(
+        bind_ip: Option<std::net::IpAddr>,
+        kept: usize,
+    ) -> HttpClient {
         let mut connector = HttpConnector::new();
         connector.set_local_address(bind_ip);
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_secs(2)));
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(Duration::from_secs(20))
+            .pool_max_idle_per_host(kept)
             .retry_canceled_requests(false)
             .build(connector);
         HttpClient { client }
