--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -409,7 +409,7 @@
         *response.status_mut() = parts.status;
         *response.headers_mut() =
             self.host.platform.caller_headers(&parts.headers);
-        self.log_done(&attempt.target, parts.status);
+        self.log_done(&attempt.target, parts.status, "");
         Some(response)
     }
 
@@ -448,12 +448,12 @@
     }
 
     /// Writes that the request has its answer.
-    pub fn log_done(&self, target: &str, status: StatusCode) {
+    pub fn log_done(&self, target: &str, status: StatusCode, pace: &str) {
         let took_ms = now_ms() - self.request.arrived_ms;
         self.host.metrics.record("request_ms", "", took_ms);
         let detail = format!(
             "id={} route={} target={target} status={} tries={} \
-             took_ms={took_ms}",
+             took_ms={took_ms} {pace}",
             self.head.id,
             self.request.route.name,
             status.as_u16(),
--- a/crates/raildale/src/fleet/entry/stream_body.rs
+++ b/crates/raildale/src/fleet/entry/stream_body.rs
@@ -42,6 +42,7 @@
         body: opened.response.into_body(),
         attempt: opened.attempt,
         splitter: EventSplitter::new(),
+        pace: Pace::default(),
         is_over: false,
     };
     let frames = stream::unfold(relay, |mut relay| async move {
@@ -60,9 +61,29 @@
     body: Incoming,
     attempt: Attempt<P>,
     splitter: EventSplitter,
+    pace: Pace,
     is_over: bool,
 }
 
+/// When events left, for the log.
+#[derive(Debug, Default)]
+struct Pace {
+    first_ms: Option<u64>,
+    last_ms: u64,
+    longest_pause_ms: u64,
+}
+
+impl Pace {
+    fn note(&mut self, now_ms: u64) {
+        if self.first_ms.is_some() {
+            let pause_ms = now_ms.saturating_sub(self.last_ms);
+            self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
+        }
+        self.first_ms.get_or_insert(now_ms);
+        self.last_ms = now_ms;
+    }
+}
+
 /// What a target's stream brought.
 enum Piece {
     Data(Bytes),
@@ -79,6 +100,7 @@
             match self.piece().await {
                 Piece::Data(data) => {
                     if let Some(whole) = self.splitter.push(data) {
+                        self.pace.note(now_ms());
                         return Some(Ok(whole));
                     }
                 }
@@ -102,7 +124,17 @@
         let request = &mut self.exchange.request;
         self.attempt.end(request, Outcome::Whole);
         let target = self.attempt.target.clone();
-        self.exchange.log_done(&target, hyper::StatusCode::OK);
+        let first_ms = self
+            .pace
+            .first_ms
+            .unwrap_or(self.pace.last_ms)
+            .saturating_sub(self.exchange.request.arrived_ms);
+        let pace = format!(
+            "first_ms={first_ms} longest_pause_ms={}",
+            self.pace.longest_pause_ms
+        );
+        self.exchange.host.metrics.record("first_event_ms", "", first_ms);
+        self.exchange.log_done(&target, hyper::StatusCode::OK, &pace);
         None
     }
 
