Entry hosts that choose alike no longer flood the target that looked idle

Cause: each entry host counted only its own requests since a target's last report, so all of them sent to the one that reported least (36 of 93 late streams of a calm window at one target).

--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -148,6 +148,10 @@
 /// Goals that a repeatable request waits for a target without an agent.
 const GOALS_OF_PATIENCE: u64 = 3;
 
+/// The share of other entry hosts that choose among the same targets: those
+/// in the same data centre, and others when theirs are full.
+const ALIKE_SHARE: f64 = 0.4;
+
 /// Urgency of a request that can still be in time.
 const URGENCY_IN_TIME: u8 = 3;
 
@@ -187,6 +191,8 @@
     /// Notes how many entry hosts share the bound on repeats.
     pub fn set_entry_hosts(&mut self, count: usize) {
         self.entry_hosts = count.max(1);
+        let others = (self.entry_hosts - 1) as f64;
+        self.targets.set_senders(1.0 + others * ALIKE_SHARE);
     }
 
     /// Notes that a version of a model was named.
--- a/crates/raildale-core/src/gateway/target.rs
+++ b/crates/raildale-core/src/gateway/target.rs
@@ -151,22 +151,28 @@
     }
 
     /// Requests there, of everybody, as far as known.
-    pub fn load(&self, now_ms: u64) -> f64 {
+    ///
+    /// What this process has sent since the last report counts for
+    /// `senders` of its kind: they believe the same and choose alike, so
+    /// that a target which looked idle would else be flooded by all of them
+    /// before its next report.
+    pub fn load(&self, now_ms: u64, senders: f64) -> f64 {
         let Some((at_ms, report, own_then)) = &self.report else {
-            return f64::from(self.in_flight);
+            return f64::from(self.in_flight) * senders;
         };
         if now_ms.saturating_sub(*at_ms) >= REPORT_FRESH_MS {
-            return f64::from(self.in_flight);
+            return f64::from(self.in_flight) * senders;
         }
-        let all = report.running + report.queued;
-        let others = all.saturating_sub(*own_then);
-        f64::from(others + self.in_flight)
+        let all = f64::from(report.running + report.queued);
+        let change = f64::from(self.in_flight) - f64::from(*own_then);
+        let weight = if change > 0.0 { senders } else { 1.0 };
+        (all + change * weight).max(f64::from(self.in_flight))
     }
 
     /// Milliseconds that a request would lose there, with failures counted
     /// as time.
-    pub fn cost_ms(&self, now_ms: u64) -> f64 {
-        let load = self.load(now_ms);
+    pub fn cost_ms(&self, now_ms: u64, senders: f64) -> f64 {
+        let load = self.load(now_ms, senders);
         let slots = f64::from(self.spec.slots.max(1));
         let pace =
             self.report(now_ms).map_or(1.0, |report| report.pace.max(0.1));
--- a/crates/raildale-core/src/gateway/targets.rs
+++ b/crates/raildale-core/src/gateway/targets.rs
@@ -14,6 +14,7 @@
     by_id: BTreeMap<Name, Target>,
     by_address: HashMap<SocketAddr, Name>,
     by_service: HashMap<Name, Vec<Name>>,
+    senders: f64,
 }
 
 /// What a target has to be for a request.
@@ -41,6 +42,12 @@
         Targets::default()
     }
 
+    /// Notes how many entry hosts, this one among them, usually send to the
+    /// same targets.
+    pub fn set_senders(&mut self, senders: f64) {
+        self.senders = senders;
+    }
+
     /// Takes over what the list tells; load and health stay.
     pub fn put(&mut self, spec: TargetSpec) {
         let id = spec.id.clone();
@@ -145,7 +152,7 @@
     fn cost_for(&self, target: &Target, now_ms: u64, need: Need<'_>) -> f64 {
         let crossing =
             if &*target.spec.data_centre == need.data_centre { 0.0 } else { CROSSING_MS };
-        target.cost_ms(now_ms) + crossing
+        target.cost_ms(now_ms, self.senders.max(1.0)) + crossing
     }
 }
 
--- a/crates/raildale/src/fleet/agent/worker.rs
+++ b/crates/raildale/src/fleet/agent/worker.rs
@@ -38,13 +38,13 @@
 const LINK_SHARE: f64 = 0.85;
 
 /// Time between two looks at the target while nothing is under way.
-const CALM_LOOK: Duration = Duration::from_millis(150);
+const CALM_LOOK: Duration = Duration::from_millis(100);
 
 /// Time between two looks at the target while weights are on their way.
 const BUSY_LOOK: Duration = Duration::from_millis(50);
 
 /// Looks between two regular reports.
-const LOOKS_PER_REPORT: u32 = 2;
+const LOOKS_PER_REPORT: u32 = 1;
 
 /// Without a briefing for this long the store is asked, in milliseconds.
 const UNBRIEFED_MS: u64 = 1_500;
