The way to each target is measured; transfers shrink on a slow link

Briefings carry the sender's clock and reports send it back: the round trip, queues included, counts as cost and widens the margin before a version's bound. Chunks in flight follow the time that chunks take.

--- a/crates/raildale-core/src/fleet_message.rs
+++ b/crates/raildale-core/src/fleet_message.rs
@@ -70,6 +70,9 @@
     /// Connections that the origin accepts from all agents together.
     #[prost(uint32, tag = "6")]
     pub origin_connections: u32,
+    /// The sender's clock, for the report to send back.
+    #[prost(uint64, tag = "7")]
+    pub sent_ms: u64,
 }
 
 /// A version and how long ago it was named.
@@ -127,9 +130,16 @@
     /// How slow the target is, in thousandths of its published pace.
     #[prost(uint32, tag = "8")]
     pub pace_milli: u32,
-    /// Rises with each report, so that a late one is told apart.
+    /// The reader's clock in its last briefing; 0 if there was none.
     #[prost(uint64, tag = "9")]
-    pub sequence: u64,
+    pub briefing_sent_ms: u64,
+    /// Milliseconds that the agent has held that briefing.
+    #[prost(uint64, tag = "10")]
+    pub briefing_age_ms: u64,
+    /// Chunks that are missing before the target can load the version
+    /// wanted; 0 if none.
+    #[prost(uint32, tag = "11")]
+    pub missing_chunks: u32,
 }
 
 /// A frame on a connection.
@@ -186,6 +196,9 @@
     /// A manifest's digests, 32 bytes each, in order.
     #[prost(bytes = "bytes", optional, tag = "3")]
     pub digests: Option<bytes::Bytes>,
+    /// Milliseconds that the question waited before the answer began.
+    #[prost(uint64, tag = "4")]
+    pub waited_ms: u64,
 }
 
 /// A question for all objects of a kind.
--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -6,7 +6,7 @@
     retry_budget::{RetryBound, RetryBudget},
     routes::{NoRoute, Organisation, Route, Routing, Service},
     target::{Outcome, Target},
-    targets::{Need, Targets},
+    targets::{Need, Targets, VersionBound},
 };
 use crate::{Code, Name};
 
@@ -116,10 +116,6 @@
     pub named_ms: u64,
 }
 
-/// Nothing is sent to an older version this long before its bound: a request
-/// may wait on a slow link and in its target's queue before it starts.
-const SEND_MARGIN_MS: u64 = 1_000;
-
 /// What has not begun at an older version this long before its bound is
 /// withdrawn.
 const WITHDRAW_MARGIN_MS: u64 = 450;
@@ -210,6 +206,23 @@
         self.versions.iter().map(|(model, named)| (model, named.as_slice()))
     }
 
+    /// The versions of a model, with the time left until nothing older may
+    /// start.
+    fn version_bounds(&self, now_ms: u64, model: &str) -> Vec<VersionBound> {
+        let bound_ms = self.config.version_ms;
+        let named = self.versions.get(model).map_or(&[][..], |v| v);
+        if bound_ms == 0 {
+            return Vec::new();
+        }
+        named
+            .iter()
+            .map(|named| VersionBound {
+                version: named.version,
+                left_ms: (named.named_ms + bound_ms).saturating_sub(now_ms),
+            })
+            .collect()
+    }
+
     /// The lowest version of a model that may still start work `ahead_ms`
     /// from now.
     pub fn least_version(
@@ -291,14 +304,15 @@
         let engine = request.service.engine.as_ref();
         let needs_weights = engine.is_some_and(|e| e.layer_count > 0);
         let model = request.model.as_deref();
+        let bounds = model.map_or_else(Vec::new, |model| {
+            self.version_bounds(now_ms, model)
+        });
         let least_version =
-            model.map_or(0, |model| {
-                self.least_version(now_ms, model, SEND_MARGIN_MS)
-            });
+            model.map_or(0, |model| self.least_version(now_ms, model, 0));
         let need = Need {
             service: &request.service.name,
             data_centre: &self.config.data_centre,
-            least_version,
+            bounds: &bounds,
             needs_weights,
             tried: &request.tried,
         };
--- a/crates/raildale-core/src/gateway/target.rs
+++ b/crates/raildale-core/src/gateway/target.rs
@@ -41,6 +41,10 @@
     pub queued: u32,
     /// How slow the target is, 1 being its published pace.
     pub pace: f64,
+    /// Chunks that are missing before it can load the version wanted.
+    pub missing_chunks: u32,
+    /// Milliseconds to its machine and back, the queues on the way included.
+    pub round_trip_ms: u64,
 }
 
 /// How a request ended at a target.
@@ -78,6 +82,13 @@
 /// suspect: agents report several times a second.
 const REPORT_SILENT_MS: u64 = 900;
 
+/// Time between two reports, a lost one allowed for, in milliseconds.
+const REPORT_EVERY_MS: u64 = 250;
+
+/// The longest delay that is believed, in milliseconds: a target without an
+/// agent any more must not look ever farther away.
+const DELAY_MOST_MS: u64 = 3_000;
+
 /// Milliseconds that each request at a target adds to the next one's wait
 /// for its first event: its share of a step, and prompts read in between.
 const CROWDING_MS: f64 = 5.0;
@@ -169,6 +180,15 @@
         (all + change * weight).max(f64::from(self.in_flight))
     }
 
+    /// Milliseconds to its machine and back, as last measured. A report that
+    /// is overdue counts as being on its way.
+    pub fn round_trip_ms(&self, now_ms: u64) -> u64 {
+        let Some((at_ms, report, _)) = &self.report else { return 0 };
+        let age_ms = now_ms.saturating_sub(*at_ms);
+        let overdue_ms = age_ms.saturating_sub(REPORT_EVERY_MS);
+        report.round_trip_ms.max(overdue_ms).min(DELAY_MOST_MS)
+    }
+
     /// Milliseconds that a request would lose there, with failures counted
     /// as time.
     pub fn cost_ms(&self, now_ms: u64, senders: f64) -> f64 {
@@ -178,11 +198,9 @@
             self.report(now_ms).map_or(1.0, |report| report.pace.max(0.1));
         let waiting = (load + 1.0 - slots).max(0.0) * USUAL_RUN_MS / slots;
         let crowded = load.min(slots) * CROWDING_MS;
-        let silent = if self.is_silent(now_ms) { 600.0 } else { 0.0 };
-        (waiting + crowded) * pace
+        (waiting + crowded) * pace + self.round_trip_ms(now_ms) as f64
             + (pace - 1.0).max(0.0) * 100.0
             + self.failures.rate(now_ms) * FAILURE_COST_MS
-            + silent
     }
 }
 
--- a/crates/raildale-core/src/gateway/targets.rs
+++ b/crates/raildale-core/src/gateway/targets.rs
@@ -24,14 +24,28 @@
     pub service: &'a str,
     /// Where the request is now.
     pub data_centre: &'a str,
-    /// The lowest version of weights that may still start work; 0 if any.
-    pub least_version: u64,
+    /// The versions of weights that bounds ask for, oldest first, each with
+    /// the milliseconds left until nothing older may start.
+    pub bounds: &'a [VersionBound],
     /// Whether the service's targets hold weights at all.
     pub needs_weights: bool,
     /// Targets that had the request before.
     pub tried: &'a [Name],
 }
 
+/// A version and when nothing older may start any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct VersionBound {
+    /// The version.
+    pub version: u64,
+    /// Milliseconds until then; 0 once it is over.
+    pub left_ms: u64,
+}
+
+/// Nothing is sent to an older version this long before its bound: a request
+/// may wait in its target's queue before it starts.
+const SEND_MARGIN_MS: u64 = 1_000;
+
 /// What crossing to another data centre counts for, in milliseconds: the way
 /// there and back, and the price of its bytes.
 const CROSSING_MS: f64 = 14.0;
@@ -157,10 +171,18 @@
 }
 
 fn fits(target: &Target, now_ms: u64, need: Need<'_>) -> bool {
+    let margin_ms = SEND_MARGIN_MS + 2 * target.round_trip_ms(now_ms);
+    let least_version = need
+        .bounds
+        .iter()
+        .filter(|bound| bound.left_ms <= margin_ms)
+        .map(|bound| bound.version)
+        .max()
+        .unwrap_or(0);
     let has_weights = || {
         target
             .serves_version(now_ms)
-            .is_some_and(|version| version >= need.least_version)
+            .is_some_and(|version| version >= least_version)
     };
     target.is_open(now_ms)
         && (!need.needs_weights || has_weights())
--- a/crates/raildale-core/src/swarm/mod.rs
+++ b/crates/raildale-core/src/swarm/mod.rs
@@ -6,6 +6,7 @@
 //!
 //! * [`sources`]: who is asked for a chunk.
 //! * [`version`]: what is held of one version.
+//! * [`window`]: how many transfers run at once.
 //! * [`swap`]: when the target changes over, so that the fleet keeps its
 //!   capacity.
 
@@ -14,6 +15,7 @@
 pub mod sources;
 pub mod swap;
 pub mod version;
+pub mod window;
 
 pub use self::{
     digest::WeightDigest,
--- a/crates/raildale-core/src/swarm/reducer.rs
+++ b/crates/raildale-core/src/swarm/reducer.rs
@@ -9,6 +9,7 @@
     sources::{Peer, Source, Sources},
     swap::{LoadMethod, SwapConfig, SwapPhase},
     version::{Fetch, Version, Waiter},
+    window::Window,
 };
 use crate::{Name, gateway::TargetReport, log_event::LogEvent};
 
@@ -102,6 +103,9 @@
         source: Source,
         /// Its bytes, unchecked.
         result: Result<Bytes, FetchError>,
+        /// Milliseconds from the question to the last byte, without the time
+        /// that whoever was asked had to wait for it.
+        took_ms: u64,
     },
     /// What lay in the target's staging at the start.
     StagingRead {
@@ -206,6 +210,7 @@
     chunk_count: usize,
     may_cut: bool,
     origin_connections: usize,
+    window: Window,
     named: BTreeMap<u64, u64>,
     versions: BTreeMap<u64, Version>,
     target: TargetState,
@@ -248,12 +253,14 @@
     /// An agent that knows nothing yet.
     pub fn new(config: SwarmConfig) -> Swarm {
         let sources = Sources::new(config.ip, config.data_centre.clone());
+        let parallel = config.parallel;
         Swarm {
             config,
             sources,
             chunk_count: 0,
             may_cut: false,
             origin_connections: 0,
+            window: Window::new(parallel),
             named: BTreeMap::new(),
             versions: BTreeMap::new(),
             target: TargetState::default(),
@@ -273,9 +280,21 @@
             running: self.target.running,
             queued: self.target.queued,
             pace: self.target.pace,
+            missing_chunks: self.missing_chunks(),
+            round_trip_ms: 0,
         }
     }
 
+    /// Chunks that are missing before the target can load what is wanted.
+    fn missing_chunks(&self) -> u32 {
+        let wanted = self.wanted();
+        if self.target.serves_version >= wanted {
+            return 0;
+        }
+        let held = self.versions.get(&wanted).map_or(0, Version::held);
+        self.chunk_count.saturating_sub(held) as u32
+    }
+
     /// Whether nothing is under way.
     pub fn is_calm(&self) -> bool {
         self.target.serves_version >= self.wanted()
@@ -302,7 +321,8 @@
             Event::Manifest { version, source, result } => {
                 self.manifest_came(now_ms, version, source, result, effects);
             }
-            Event::Chunk { version, index, source, result } => {
+            Event::Chunk { version, index, source, result, took_ms } => {
+                self.window.note(took_ms, result.is_ok());
                 self.chunk_came(
                     now_ms, version, index, source, result, effects,
                 );
@@ -590,6 +610,7 @@
                 if slot.fetch.is_some_and(|fetch| fetch.until_ms <= now_ms) {
                     slot.fetch = None;
                     slot.failures += 1;
+                    self.window.note(FETCH_TIMEOUT_MS, false);
                 }
             }
         }
@@ -695,7 +716,7 @@
         let most = self.origin_connections * 3 / 4 / agents.max(1);
         let most = most.clamp(1, ORIGIN_PARALLEL_MOST);
         Room {
-            all: self.config.parallel.saturating_sub(busy),
+            all: self.window.size().saturating_sub(busy),
             from_origin: most.saturating_sub(from_origin),
         }
     }
--- a/crates/raildale/src/fleet/agent/links.rs
+++ b/crates/raildale/src/fleet/agent/links.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     codec,
-    fleet::frames,
+    fleet::{frames, steady_clock::now_ms},
 };
 
 /// Bytes of a digest in a manifest.
@@ -33,6 +33,8 @@
     pub item: Item,
     /// Agents that the question has passed.
     pub hops: u32,
+    /// When it was asked.
+    pub asked_ms: u64,
 }
 
 /// The connections.
@@ -155,6 +157,9 @@
             index,
             source,
             result: give.chunk.ok_or(FetchError::Absent),
+            took_ms: now_ms()
+                .saturating_sub(question.asked_ms)
+                .saturating_sub(give.waited_ms),
         },
     }
 }
@@ -176,7 +181,8 @@
             Event::Manifest { version, source, result: Err(error) }
         }
         Item::Chunk(index) => {
-            Event::Chunk { version, index, source, result: Err(error) }
+            let result = Err(error);
+            Event::Chunk { version, index, source, result, took_ms: 0 }
         }
     };
     // The loop that takes events ends with the process only.
--- a/crates/raildale/src/fleet/agent/reports.rs
+++ b/crates/raildale/src/fleet/agent/reports.rs
@@ -26,7 +26,16 @@
 pub struct Reports {
     socket: Rc<UdpSocket>,
     target: SocketAddr,
-    readers: Rc<RefCell<HashMap<SocketAddr, u64>>>,
+    readers: Rc<RefCell<HashMap<SocketAddr, Reader>>>,
+}
+
+/// An entry host's last briefing.
+#[derive(Clone, Copy, Debug)]
+struct Reader {
+    /// When it came, on this process's clock.
+    at_ms: u64,
+    /// When it left, on the sender's clock.
+    sent_ms: u64,
 }
 
 impl Reports {
@@ -37,7 +46,8 @@
 
     /// When the last briefing came; 0 if none has.
     pub fn last_briefing_ms(&self) -> u64 {
-        self.readers.borrow().values().copied().max().unwrap_or(0)
+        let readers = self.readers.borrow();
+        readers.values().map(|reader| reader.at_ms).max().unwrap_or(0)
     }
 
     /// Takes briefings for as long as the process runs.
@@ -54,7 +64,9 @@
             };
             let note = frames::decode_note(&buffer[..length]);
             if let Some(Note::Briefing(briefing)) = note {
-                self.readers.borrow_mut().insert(from, now_ms());
+                let sent_ms = briefing.sent_ms;
+                let reader = Reader { at_ms: now_ms(), sent_ms };
+                self.readers.borrow_mut().insert(from, reader);
                 for event in briefed(briefing) {
                     // The loop that takes events ends with the process only.
                     let _ = events.send(event);
@@ -66,12 +78,12 @@
     /// Tells every entry host that wants to know.
     pub async fn send(&self, report: &TargetReport) {
         let now = now_ms();
-        let readers: Vec<SocketAddr> = {
+        let readers: Vec<(SocketAddr, Reader)> = {
             let mut readers = self.readers.borrow_mut();
-            readers.retain(|_, at_ms| now - *at_ms < FORGET_MS);
-            readers.keys().copied().collect()
+            readers.retain(|_, reader| now - reader.at_ms < FORGET_MS);
+            readers.iter().map(|(to, reader)| (*to, *reader)).collect()
         };
-        let note = frames::encode_note(Note::Report(Report {
+        let mut message = Report {
             address: self.target.to_string(),
             is_up: report.is_up,
             is_accepting: report.is_accepting,
@@ -80,11 +92,15 @@
             running: report.running,
             queued: report.queued,
             pace_milli: (report.pace * 1e3) as u32,
-            sequence: now,
-        }));
-        for reader in readers {
-            if let Err(error) = self.socket.send_to(&note, reader).await {
-                log::debug!("report to {reader}: {error}");
+            missing_chunks: report.missing_chunks,
+            ..Report::default()
+        };
+        for (to, reader) in readers {
+            message.briefing_sent_ms = reader.sent_ms;
+            message.briefing_age_ms = now - reader.at_ms;
+            let note = frames::encode_note(Note::Report(message.clone()));
+            if let Err(error) = self.socket.send_to(&note, to).await {
+                log::debug!("report to {to}: {error}");
             }
         }
     }
--- a/crates/raildale/src/fleet/agent/server.rs
+++ b/crates/raildale/src/fleet/agent/server.rs
@@ -17,11 +17,19 @@
 
 use crate::{
     codec,
-    fleet::frames,
+    fleet::{frames, steady_clock::now_ms},
     pacer::{Pacer, SLICE_BYTES},
 };
 
-type Answers = mpsc::UnboundedSender<Bytes>;
+type Answers = mpsc::UnboundedSender<Waiting>;
+
+/// An answer that waits for its turn on the link.
+#[derive(Debug)]
+struct Waiting {
+    question: u64,
+    asked_ms: u64,
+    content: Content,
+}
 
 /// Questions that are open, by ticket.
 #[derive(Clone, Debug)]
@@ -34,7 +42,7 @@
 #[derive(Debug, Default)]
 struct OpenQuestions {
     last: u64,
-    by_ticket: HashMap<Ticket, (u64, Answers)>,
+    by_ticket: HashMap<Ticket, (u64, u64, Answers)>,
 }
 
 impl Server {
@@ -63,25 +71,10 @@
     /// Answers a question.
     pub fn answer(&self, ticket: Ticket, content: Content) {
         let known = self.open.borrow_mut().by_ticket.remove(&ticket);
-        let Some((question, answers)) = known else { return };
-        let give = match content {
-            Content::Manifest(digests) => {
-                let mut bytes = BytesMut::new();
-                for digest in digests {
-                    bytes.extend_from_slice(digest.as_bytes());
-                }
-                let digests = Some(bytes.freeze());
-                GiveItem { question, chunk: None, digests }
-            }
-            Content::Chunk(data) => {
-                GiveItem { question, chunk: Some(data), digests: None }
-            }
-            Content::Absent => {
-                GiveItem { question, chunk: None, digests: None }
-            }
-        };
-        // Whoever asked may have gone.
-        let _ = answers.send(frames::encode_frame(FleetBody::GiveItem(give)));
+        if let Some((question, asked_ms, answers)) = known {
+            // Whoever asked may have gone.
+            let _ = answers.send(Waiting { question, asked_ms, content });
+        }
     }
 
     async fn serve(self, stream: TcpStream) {
@@ -103,7 +96,7 @@
             let mut open = self.open.borrow_mut();
             open.last += 1;
             let ticket = Ticket(open.last);
-            let waiting = (ask.question, answers.clone());
+            let waiting = (ask.question, now_ms(), answers.clone());
             open.by_ticket.insert(ticket, waiting);
             ticket
         };
@@ -114,12 +107,35 @@
     }
 }
 
+fn encode(waiting: Waiting) -> Bytes {
+    let Waiting { question, asked_ms, content } = waiting;
+    let mut give = GiveItem {
+        question,
+        chunk: None,
+        digests: None,
+        waited_ms: now_ms().saturating_sub(asked_ms),
+    };
+    match content {
+        Content::Manifest(digests) => {
+            let mut bytes = BytesMut::new();
+            for digest in digests {
+                bytes.extend_from_slice(digest.as_bytes());
+            }
+            give.digests = Some(bytes.freeze());
+        }
+        Content::Chunk(data) => give.chunk = Some(data),
+        Content::Absent => {}
+    }
+    frames::encode_frame(FleetBody::GiveItem(give))
+}
+
 async fn write_paced(
     mut write: OwnedWriteHalf,
-    mut frames_out: mpsc::UnboundedReceiver<Bytes>,
+    mut answers: mpsc::UnboundedReceiver<Waiting>,
     pacer: Rc<Pacer>,
 ) {
-    while let Some(mut frame) = frames_out.recv().await {
+    while let Some(waiting) = answers.recv().await {
+        let mut frame = encode(waiting);
         while !frame.is_empty() {
             let slice = frame.split_to(frame.len().min(SLICE_BYTES));
             pacer.wait(slice.len()).await;
--- a/crates/raildale/src/fleet/agent/worker.rs
+++ b/crates/raildale/src/fleet/agent/worker.rs
@@ -169,7 +169,8 @@
     async fn carry_out(&mut self, effect: Effect) {
         match effect {
             Effect::Fetch { version, item, source, hops } => {
-                let question = Question { version, item, hops };
+                let asked_ms = now_ms();
+                let question = Question { version, item, hops, asked_ms };
                 match source {
                     Source::Peer(ip) => self.links.ask(ip, question),
                     Source::Origin => self.ask_origin(version, item),
@@ -209,6 +210,7 @@
             return;
         };
         let platform = self.platform.clone();
+        let asked_ms = now_ms();
         tokio::task::spawn_local(async move {
             let source = Source::Origin;
             let event = match item {
@@ -222,7 +224,8 @@
                     let found =
                         platform.chunk(origin, &model, version, index).await;
                     let result = found.ok_or(FetchError::Lost);
-                    Event::Chunk { version, index, source, result }
+                    let took_ms = now_ms() - asked_ms;
+                    Event::Chunk { version, index, source, result, took_ms }
                 }
             };
             let _ = events.send(event);
@@ -337,6 +340,8 @@
         Item::Manifest => {
             Event::Manifest { version, source, result: Err(FetchError::Lost) }
         }
-        Item::Chunk(index) => Event::Chunk { version, index, source, result },
+        Item::Chunk(index) => {
+            Event::Chunk { version, index, source, result, took_ms: 0 }
+        }
     }
 }
--- a/crates/raildale/src/fleet/entry/peers.rs
+++ b/crates/raildale/src/fleet/entry/peers.rs
@@ -87,6 +87,12 @@
 
 fn take_report<P>(host: &EntryHost<P>, report: Report) {
     let Ok(address) = report.address.parse() else { return };
+    let round_trip_ms = match report.briefing_sent_ms {
+        0 => 0,
+        sent_ms => now_ms()
+            .saturating_sub(sent_ms)
+            .saturating_sub(report.briefing_age_ms),
+    };
     let report = TargetReport {
         is_up: report.is_up,
         is_accepting: report.is_accepting,
@@ -95,6 +101,8 @@
         running: report.running,
         queued: report.queued,
         pace: f64::from(report.pace_milli) / 1e3,
+        missing_chunks: report.missing_chunks,
+        round_trip_ms,
     };
     let mut gateway = host.gateway.borrow_mut();
     gateway.targets.note_report(now_ms(), address, report);
@@ -206,7 +214,8 @@
     terms: Briefing,
 ) -> Vec<(IpAddr, Vec<u8>)> {
     let (agents, centres) = agents(host, service);
-    let short = Briefing { versions: named(host, service), ..terms };
+    let versions = named(host, service);
+    let short = Briefing { versions, sent_ms: now_ms(), ..terms };
     let own_centre = &host.node.data_centre;
     let own_place = centres.iter().position(|c| c == own_centre);
     let full = Briefing {
