Requests wait at the entry host; an overtaken version is kept; last call

Causes: a version that was overtaken was dropped half filled (403 on every chunk that still came); requests in the queue of a target that froze began after the version's bound; a leaving entry host took streams that could not end.

--- a/crates/raildale-core/src/code.rs
+++ b/crates/raildale-core/src/code.rs
@@ -86,6 +86,7 @@
     Leaving = 3007, 307, NotApplicable, "this entry host is leaving; ask another";
     Revoked = 3008, 409, NotRun, "the run key was revoked before it ran and will never run";
     LedgerFull = 3009, 503, NotRun, "the target's ledger of run keys is full";
+    HostLeaving = 3010, 503, NotRun, "this entry host is about to stop; ask another";
     TargetRefused = 3011, 502, NotRun, "the target refused before it started";
     Unknown = 4000, 504, Unknown, "the outcome is unknown; ask again with the run key";
     Cut = 4001, 502, Unknown, "the answer was cut; what was sent is not whole";
--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -126,6 +126,10 @@
 /// The share of its goal that a request may wait here for a target.
 const WAIT_SHARE: f64 = 0.22;
 
+/// Goals that a request may wait here while targets serve it and are full:
+/// late is better than never.
+const FULL_WAIT_SHARE: f64 = 5.0;
+
 /// When a refused request is told to come back.
 const RETRY_AFTER_MS: u64 = 400;
 
@@ -318,7 +322,11 @@
         };
         let picked = self.targets.pick(now_ms, need, draw);
         let Some((target, cost_ms)) = picked else {
-            let patience_ms = request.route.goal_ms as f64 * WAIT_SHARE;
+            let share = match self.targets.any_fits(now_ms, need) {
+                true => FULL_WAIT_SHARE,
+                false => WAIT_SHARE,
+            };
+            let patience_ms = request.route.goal_ms as f64 * share;
             let waited_ms = now_ms.saturating_sub(since_ms);
             if (waited_ms as f64) < patience_ms {
                 return Next::Wait(LOOK_AGAIN_MS);
--- a/crates/raildale-core/src/gateway/target.rs
+++ b/crates/raildale-core/src/gateway/target.rs
@@ -180,6 +180,13 @@
         (all + change * weight).max(f64::from(self.in_flight))
     }
 
+    /// Whether a request would begin there at once, or nearly: what waits
+    /// here can still go to whichever target has room first.
+    pub fn has_room(&self, now_ms: u64, senders: f64, spare: f64) -> bool {
+        self.report(now_ms).is_none()
+            || self.load(now_ms, senders) < f64::from(self.spec.slots) + spare
+    }
+
     /// Milliseconds to its machine and back, as last measured. A report that
     /// is overdue counts as being on its way.
     pub fn round_trip_ms(&self, now_ms: u64) -> u64 {
--- a/crates/raildale-core/src/gateway/targets.rs
+++ b/crates/raildale-core/src/gateway/targets.rs
@@ -46,6 +46,10 @@
 /// may wait in its target's queue before it starts.
 const SEND_MARGIN_MS: u64 = 1_000;
 
+/// Requests beyond its slots that a target gets: what frees between two
+/// reports is used at once.
+const SPARE_REQUESTS: f64 = 2.0;
+
 /// What crossing to another data centre counts for, in milliseconds: the way
 /// there and back, and the price of its bytes.
 const CROSSING_MS: f64 = 14.0;
@@ -142,6 +146,16 @@
         }
     }
 
+    /// Whether some target could take a request if it had room.
+    pub fn any_fits(&self, now_ms: u64, need: Need<'_>) -> bool {
+        self.of(need.service).any(|target| fits(target, now_ms, need))
+    }
+
+    fn of(&self, service: &str) -> impl Iterator<Item = &Target> {
+        let ids = self.by_service.get(service).map_or(&[][..], |ids| ids);
+        ids.iter().filter_map(|id| self.by_id.get(id))
+    }
+
     /// The best target for a request, and what it costs there.
     ///
     /// Each candidate's cost is the wait expected there, plus failures and
@@ -159,10 +173,21 @@
         (0..count)
             .filter_map(|step| self.by_id.get(&ids[(start + step) % count]))
             .filter(|target| fits(target, now_ms, need))
+            .filter(|target| self.has_room(target, now_ms, need))
             .map(|target| (target, self.cost_for(target, now_ms, need)))
             .min_by(|a, b| a.1.total_cmp(&b.1))
     }
 
+    /// A target whose version is about to be too old gets nothing that would
+    /// wait there: if it froze, what waits would start too late.
+    fn has_room(&self, target: &Target, now_ms: u64, need: Need<'_>) -> bool {
+        let serves = target.serves_version(now_ms).unwrap_or(0);
+        let newest = need.bounds.iter().map(|bound| bound.version).max();
+        let is_old = newest.is_some_and(|version| serves < version);
+        let spare = if is_old { 0.0 } else { SPARE_REQUESTS };
+        target.has_room(now_ms, self.senders.max(1.0), spare)
+    }
+
     fn cost_for(&self, target: &Target, now_ms: u64, need: Need<'_>) -> f64 {
         let crossing =
             if &*target.spec.data_centre == need.data_centre { 0.0 } else { CROSSING_MS };
--- a/crates/raildale-core/src/swarm/reducer.rs
+++ b/crates/raildale-core/src/swarm/reducer.rs
@@ -240,9 +240,6 @@
 /// An order that shows no effect by then is given again.
 const LOAD_TIMEOUT_MS: u64 = 4_000;
 
-/// Versions kept: the one served and the one to come.
-const KEPT_VERSIONS: usize = 2;
-
 /// Transfers from the origin at once, however many connections it accepts.
 const ORIGIN_PARALLEL_MOST: usize = 4;
 
@@ -617,16 +614,11 @@
         self.forget_old();
     }
 
-    /// Drops versions that nobody needs any more.
+    /// Drops versions older than the one served; nobody else needs them once
+    /// a newer one is served here, since all targets go the same way.
     fn forget_old(&mut self) {
         let served = self.target.serves_version;
-        let mut spare = self.versions.len().saturating_sub(KEPT_VERSIONS);
-        let wanted = self.wanted();
-        self.versions.retain(|number, _| {
-            let goes = spare > 0 && *number != served && *number < wanted;
-            spare -= usize::from(goes);
-            !goes
-        });
+        self.versions.retain(|number, _| *number >= served);
     }
 
     fn go_on(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
--- a/crates/raildale/src/fleet/entry/host.rs
+++ b/crates/raildale/src/fleet/entry/host.rs
@@ -79,7 +79,11 @@
 const LAPSE_MS: u64 = 2_200;
 
 /// What is kept free before the process is killed, in milliseconds.
-const EXIT_MARGIN_MS: u64 = 900;
+const EXIT_MARGIN_MS: u64 = 500;
+
+/// A leaving entry host takes nothing new this long before it is killed, in
+/// milliseconds: most streams end within it.
+const LAST_CALL_MS: u64 = 4_500;
 
 /// A leaving entry host stays at least this long, in milliseconds: callers
 /// keep the addresses for a while.
@@ -170,6 +174,15 @@
         self.leaving_since_ms.get().is_some()
     }
 
+    /// Whether it has been leaving for so long that what comes now might not
+    /// end in time.
+    pub fn is_past_last_call(&self) -> bool {
+        let open_ms = self.grace_ms.saturating_sub(LAST_CALL_MS);
+        self.leaving_since_ms
+            .get()
+            .is_some_and(|since_ms| now_ms() > since_ms + open_ms)
+    }
+
     /// Where a fleet's callers reach the entry host at `ip`: all of them
     /// listen on the same port.
     pub fn callers_address(&self, ip: std::net::IpAddr) -> SocketAddr {
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -137,6 +137,11 @@
             return refuse(&host, &head.id, refusal);
         }
     };
+    if host.is_past_last_call() {
+        let retry_after_ms = Some(0);
+        let refusal = Refusal { code: Code::HostLeaving, retry_after_ms };
+        return refuse(&host, &head.id, refusal);
+    }
     let draw = rand::random();
     let admitted = host.gateway.borrow_mut().admit(now_ms(), &head, draw);
     let request = match admitted {
