--- a/crates/raildale-core/src/log_event.rs
+++ b/crates/raildale-core/src/log_event.rs
@@ -74,6 +74,7 @@
     Activated = 409, Info, "the target serves a whole version";
     ActivationFailed = 410, Alarm, "the target did not take the order to serve a version";
     ManifestMismatch = 411, Alarm, "the origin's manifest is not the one in the settings";
+    SpreadProgress = 412, Info, "how far the version wanted has come";
     SwapBegun = 420, Info, "the target takes nothing new: it changes over to another version";
     SwapOrdered = 421, Info, "the target was ordered to load a version";
     RunUnknown = 500, Warn, "a request's outcome is unknown";
--- a/crates/raildale-core/src/swarm/reducer.rs
+++ b/crates/raildale-core/src/swarm/reducer.rs
@@ -6,7 +6,7 @@
 
 use super::{
     digest::WeightDigest,
-    sources::{Peer, Source, Sources},
+    sources::{Peer, Source, Sources, TRIES_PER_SOURCE},
     swap::{LoadMethod, SwapConfig, SwapPhase},
     version::{Fetch, Version, Waiter},
     window::Window,
@@ -216,19 +216,27 @@
     target: TargetState,
     phase: SwapPhase,
     not_before_ms: u64,
+    told_ms: u64,
 }
 
-/// A chunk that has not come by then is asked for elsewhere, in milliseconds.
-/// At 9.4 Mbit/s six chunks at once take 250 ms, and the one asked may have
-/// to fetch first.
+/// Time between two lines on the progress of a version, in milliseconds.
+const PROGRESS_EVERY_MS: u64 = 1_000;
+
+/// A chunk from an agent that holds it, and has not come by then, is asked
+/// for elsewhere, in milliseconds: six chunks at once take 250 ms at 9.4
+/// Mbit/s, and the sender may serve several.
 const FETCH_TIMEOUT_MS: u64 = 1_200;
 
+/// The same for one that its source may have to fetch first: the origin
+/// gives a whole version of 48 chunks in 1.3 s to all together.
+const WAITING_TIMEOUT_MS: u64 = 1_400;
+
 /// How long a question waits for an item that is being fetched: less than
 /// the asker's patience.
-const WAITER_TIMEOUT_MS: u64 = 1_000;
+const WAITER_TIMEOUT_MS: u64 = 1_200;
 
 /// Pause before an item is asked for again after a failure.
-const RETRY_PAUSE_MS: u64 = 60;
+const RETRY_PAUSE_MS: u64 = 30;
 
 /// Longest pause before an item is asked for again.
 const RETRY_PAUSE_MOST_MS: u64 = 800;
@@ -243,6 +251,10 @@
 /// Transfers from the origin at once, however many connections it accepts.
 const ORIGIN_PARALLEL_MOST: usize = 4;
 
+/// Transfers at once from sources that may have to wait themselves: these
+/// take no room on the link until they are answered.
+const WAITING_MOST: usize = 10;
+
 /// Mismatches straight from the origin after which the manifest is doubted.
 const DOUBT_MANIFEST: u32 = 3;
 
@@ -263,6 +275,7 @@
             target: TargetState::default(),
             phase: SwapPhase::Idle,
             not_before_ms: 0,
+            told_ms: 0,
         }
     }
 
@@ -319,7 +332,11 @@
                 self.manifest_came(now_ms, version, source, result, effects);
             }
             Event::Chunk { version, index, source, result, took_ms } => {
-                self.window.note(took_ms, result.is_ok());
+                // The origin's own link is shared by all agents: how long
+                // it takes says nothing of the link here.
+                if source != Source::Origin && result.is_ok() {
+                    self.window.note(took_ms);
+                }
                 self.chunk_came(
                     now_ms, version, index, source, result, effects,
                 );
@@ -337,7 +354,10 @@
             Event::Asked { ticket, version, item, hops } => {
                 self.asked(now_ms, ticket, version, item, hops, effects);
             }
-            Event::Tick => self.expire(now_ms, effects),
+            Event::Tick => {
+                self.expire(now_ms, effects);
+                self.tell_progress(now_ms, effects);
+            }
         }
         self.go_on(now_ms, effects);
     }
@@ -410,6 +430,7 @@
         let Some(slot) = held.slots.get_mut(index as usize) else { return };
         slot.fetch = None;
         let came = result.is_ok();
+        let is_lost = result == Err(FetchError::Lost);
         let was_whole = held.is_whole();
         let is_kept =
             result.is_ok_and(|data| held.keep(index as usize, data));
@@ -423,7 +444,7 @@
             }
             return;
         }
-        slot.failures += 1;
+        slot.failures += if is_lost { TRIES_PER_SOURCE } else { 1 };
         slot.not_before_ms = now_ms + pause_ms(slot.failures);
         if came {
             let detail =
@@ -562,6 +583,12 @@
         hops: u32,
         effects: &mut Vec<Effect>,
     ) {
+        if self.chunk_count == 0 {
+            // Not told yet how many chunks there are: others know more.
+            let content = Content::Absent;
+            effects.push(Effect::Answer { ticket, content });
+            return;
+        }
         let held = self.open(version);
         let content = match item {
             Item::Manifest => held.digests.clone().map(Content::Manifest),
@@ -607,13 +634,38 @@
                 if slot.fetch.is_some_and(|fetch| fetch.until_ms <= now_ms) {
                     slot.fetch = None;
                     slot.failures += 1;
-                    self.window.note(FETCH_TIMEOUT_MS, false);
                 }
             }
         }
         self.forget_old();
     }
 
+    /// One line a second while the target lacks what it should serve.
+    fn tell_progress(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
+        let wanted = self.wanted();
+        let is_due = now_ms >= self.told_ms + PROGRESS_EVERY_MS;
+        let Some(held) = self.versions.get(&wanted) else { return };
+        if !is_due || held.is_whole() || self.target.serves_version >= wanted
+        {
+            return;
+        }
+        self.told_ms = now_ms;
+        let failures: u32 = held.slots.iter().map(|slot| slot.failures).sum();
+        let waiters: usize =
+            held.slots.iter().map(|slot| slot.waiters.len()).sum();
+        let detail = format!(
+            "version={wanted} manifest={} held={} of={} fetching={} \
+             from_origin={} failures={failures} waiters={waiters} window={}",
+            held.digests.is_some(),
+            held.held(),
+            held.slots.len(),
+            held.fetches(true) + held.fetches(false),
+            held.fetches_from_origin(),
+            self.window.size(),
+        );
+        effects.push(Effect::Log(LogEvent::SpreadProgress, detail));
+    }
+
     /// Drops versions older than the one served; nobody else needs them once
     /// a newer one is served here, since all targets go the same way.
     fn forget_old(&mut self) {
@@ -683,7 +735,7 @@
                         awaited == is_awaited && (awaited || is_needed);
                     let is_open = held.chunk(index).is_none()
                         && held.slots[index].fetch.is_none();
-                    if room.all == 0 || !is_due || !is_open {
+                    if room.is_full() || !is_due || !is_open {
                         continue;
                     }
                     let item = Item::Chunk(index as u32);
@@ -702,13 +754,16 @@
 
     /// Transfers that may still start, among `agents`.
     fn room(&self, agents: usize) -> Room {
-        let busy: usize = self.versions.values().map(Version::fetches).sum();
+        let busy = |may_wait: bool| -> usize {
+            self.versions.values().map(|held| held.fetches(may_wait)).sum()
+        };
         let from_origin: usize =
             self.versions.values().map(Version::fetches_from_origin).sum();
         let most = self.origin_connections * 3 / 4 / agents.max(1);
         let most = most.clamp(1, ORIGIN_PARALLEL_MOST);
         Room {
-            all: self.window.size().saturating_sub(busy),
+            at_once: self.window.size().saturating_sub(busy(false)),
+            waiting: WAITING_MOST.saturating_sub(busy(true)),
             from_origin: most.saturating_sub(from_origin),
         }
     }
@@ -818,10 +873,20 @@
 /// Transfers that may still start.
 #[derive(Clone, Copy, Debug)]
 struct Room {
-    all: usize,
+    /// From agents that hold the whole version.
+    at_once: usize,
+    /// From sources that may have to wait for it first.
+    waiting: usize,
+    /// From the origin.
     from_origin: usize,
 }
 
+impl Room {
+    fn is_full(self) -> bool {
+        self.at_once == 0 && self.waiting == 0
+    }
+}
+
 /// Asks for an item unless that is under way, has to wait or has no room.
 fn start(
     held: &mut Version,
@@ -837,16 +902,29 @@
         return;
     }
     let hops = slot.waiters.iter().map(|w| w.hops + 1).max().unwrap_or(0);
-    let source = sources.pick(version, item, slot.failures, hops);
+    let mut source = sources.pick(version, item, slot.failures, hops);
+    if source == Source::Origin && room.from_origin == 0 {
+        // A try that only goes astray to the origin need not wait for it.
+        let failures = slot.failures + TRIES_PER_SOURCE;
+        source = sources.pick(version, item, failures, hops);
+    }
     if source == Source::Origin {
         if room.from_origin == 0 {
             return;
         }
         room.from_origin -= 1;
     }
-    room.all = room.all.saturating_sub(1);
-    let until_ms = now_ms + FETCH_TIMEOUT_MS;
-    slot.fetch = Some(Fetch { source, until_ms });
+    let may_wait = !sources.holds(source, version);
+    let place =
+        if may_wait { &mut room.waiting } else { &mut room.at_once };
+    if *place == 0 {
+        return;
+    }
+    *place -= 1;
+    let patience_ms =
+        if may_wait { WAITING_TIMEOUT_MS } else { FETCH_TIMEOUT_MS };
+    let until_ms = now_ms + patience_ms;
+    slot.fetch = Some(Fetch { source, until_ms, may_wait });
     effects.push(Effect::Fetch { version, item, source, hops });
 }
 
--- a/crates/raildale-core/src/swarm/sources.rs
+++ b/crates/raildale-core/src/swarm/sources.rs
@@ -38,7 +38,10 @@
 /// Of this many tries one goes straight to the origin. With fewer, a fleet
 /// that starts empty runs the origin out of connections: each agent then
 /// asks it for everything.
-const STRAIGHT_EVERY: u32 = 4;
+const STRAIGHT_EVERY: u32 = 8;
+
+/// Tries at one source before the next one is asked.
+pub const TRIES_PER_SOURCE: u32 = 2;
 
 /// The live agents, as one of them sees them.
 #[derive(Debug)]
@@ -99,6 +102,17 @@
         (rank.unwrap_or(0), order.len().max(1))
     }
 
+    /// Whether a source is known to hold a whole version: it answers at once.
+    pub fn holds(&self, source: Source, version: u64) -> bool {
+        match source {
+            Source::Origin => false,
+            Source::Peer(ip) => self
+                .peers
+                .iter()
+                .any(|p| p.ip == ip && p.whole_version == version),
+        }
+    }
+
     /// Who is asked for an item of a version after `failures` lost tries, by
     /// a question that has passed `hops` agents.
     pub fn pick(
@@ -112,7 +126,9 @@
             Item::Manifest => version as usize,
             Item::Chunk(index) => index as usize,
         };
+        // Whoever could not answer in time has the item soon after.
         let is_straight = failures % STRAIGHT_EVERY == STRAIGHT_EVERY - 1;
+        let failures = failures / TRIES_PER_SOURCE;
         if hops >= MOST_HOPS || is_straight {
             return Source::Origin;
         }
--- a/crates/raildale-core/src/swarm/version.rs
+++ b/crates/raildale-core/src/swarm/version.rs
@@ -15,6 +15,8 @@
     pub source: Source,
     /// When it is taken for lost.
     pub until_ms: u64,
+    /// Whether the source may have to wait for it first.
+    pub may_wait: bool,
 }
 
 /// Somebody who waits for an item.
@@ -121,9 +123,14 @@
         }
     }
 
-    /// Transfers of chunks under way.
-    pub fn fetches(&self) -> usize {
-        self.slots.iter().filter(|slot| slot.fetch.is_some()).count()
+    /// Transfers of chunks under way, those that may have to wait at their
+    /// source or the others.
+    pub fn fetches(&self, may_wait: bool) -> usize {
+        self.slots
+            .iter()
+            .filter_map(|slot| slot.fetch)
+            .filter(|fetch| fetch.may_wait == may_wait)
+            .count()
     }
 
     /// Transfers from the origin under way, the manifest's among them.
--- a/crates/raildale-core/src/swarm/window.rs
+++ b/crates/raildale-core/src/swarm/window.rs
@@ -16,7 +16,7 @@
 const SLOW_MS: u64 = 420;
 
 /// What a chunk that is not slow adds.
-const GROWTH: f64 = 0.25;
+const GROWTH: f64 = 0.5;
 
 impl Window {
     /// A window of `most` transfers, wide open.
@@ -29,11 +29,11 @@
         self.size as usize
     }
 
-    /// Takes in how long a chunk took, and whether it came.
-    pub fn note(&mut self, took_ms: u64, came: bool) {
+    /// Takes in how long a chunk from another agent took.
+    pub fn note(&mut self, took_ms: u64) {
         if took_ms > SLOW_MS {
             self.size = (self.size / 2.0).max(1.0);
-        } else if came {
+        } else {
             self.size = (self.size + GROWTH).min(self.most);
         }
     }
--- a/crates/raildale/src/fleet/agent/server.rs
+++ b/crates/raildale/src/fleet/agent/server.rs
@@ -11,7 +11,7 @@
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream, tcp::OwnedWriteHalf},
-    sync::mpsc,
+    sync::{Semaphore, mpsc},
 };
 use tokio_util::codec::FramedRead;
 
@@ -36,9 +36,21 @@
 pub struct Server {
     events: mpsc::UnboundedSender<Event>,
     open: Rc<RefCell<OpenQuestions>>,
-    pacer: Rc<Pacer>,
+    link: Rc<Link>,
 }
 
+/// The own link, as answers use it.
+#[derive(Debug)]
+struct Link {
+    pacer: Pacer,
+    turns: Semaphore,
+}
+
+/// Chunks that leave at once. Few: chunks that share the link all come late,
+/// and whoever waits for one cannot hand it on. More than one, so that a slow
+/// reader does not hold up the others.
+const CHUNKS_AT_ONCE: usize = 2;
+
 #[derive(Debug, Default)]
 struct OpenQuestions {
     last: u64,
@@ -51,8 +63,11 @@
         events: mpsc::UnboundedSender<Event>,
         bytes_per_s: u64,
     ) -> Server {
-        let pacer = Rc::new(Pacer::new(bytes_per_s));
-        Server { events, open: Rc::default(), pacer }
+        let link = Link {
+            pacer: Pacer::new(bytes_per_s),
+            turns: Semaphore::new(CHUNKS_AT_ONCE),
+        };
+        Server { events, open: Rc::default(), link: Rc::new(link) }
     }
 
     /// Takes connections for as long as the process runs.
@@ -80,8 +95,8 @@
     async fn serve(self, stream: TcpStream) {
         let (read, write) = stream.into_split();
         let (answers, frames_out) = mpsc::unbounded_channel();
-        let pacer = self.pacer.clone();
-        tokio::task::spawn_local(write_paced(write, frames_out, pacer));
+        let link = self.link.clone();
+        tokio::task::spawn_local(write_paced(write, frames_out, link));
         let mut questions = FramedRead::new(read, codec::splitter());
         while let Some(Ok(frame)) = questions.next().await {
             match frames::decode_frame(frame.freeze()) {
@@ -132,13 +147,15 @@
 async fn write_paced(
     mut write: OwnedWriteHalf,
     mut answers: mpsc::UnboundedReceiver<Waiting>,
-    pacer: Rc<Pacer>,
+    link: Rc<Link>,
 ) {
     while let Some(waiting) = answers.recv().await {
+        // The semaphore is never closed.
+        let Ok(_turn) = link.turns.acquire().await else { return };
         let mut frame = encode(waiting);
         while !frame.is_empty() {
             let slice = frame.split_to(frame.len().min(SLICE_BYTES));
-            pacer.wait(slice.len()).await;
+            link.pacer.wait(slice.len()).await;
             if let Err(error) = write.write_all(&slice).await {
                 log::debug!("answer to an agent: {error}");
                 return;
