A refused request is told when a target will serve; one that is back waits

Agents tell how many chunks are missing; the first try is refused with the time when a target will serve, a try that is back waits if that is before it is due.

--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -56,6 +56,9 @@
     pub arrived_ms: u64,
     /// When it must have its final answer, on the process's clock.
     pub due_ms: u64,
+    /// Whether it seems to have been refused before: its caller waits less
+    /// than the route allows.
+    pub is_back: bool,
     /// Targets that it was sent to, oldest first.
     pub tried: Vec<Name>,
     /// Whether some target may have run it.
@@ -130,6 +133,18 @@
 /// late is better than never.
 const FULL_WAIT_SHARE: f64 = 5.0;
 
+/// A try whose caller waits at least this share of the route's bound is its
+/// first.
+const FIRST_TRY_SHARE: f64 = 0.9;
+
+/// What a held request needs at its target at least, in milliseconds: an
+/// answer's usual time.
+const SERVE_MS: u64 = 900;
+
+/// When a target serves again if nothing is known of any, in milliseconds:
+/// an empty fleet is filled in about 4 s, half of it on the average.
+const UNKNOWN_READY_MS: u64 = 2_000;
+
 /// When a refused request is told to come back.
 const RETRY_AFTER_MS: u64 = 400;
 
@@ -278,6 +293,8 @@
         self.budget(&service.name).note_request(now_ms);
         Ok(Admission {
             due_ms: now_ms + held_ms.saturating_sub(ANSWER_MARGIN_MS),
+            is_back: (left_ms as f64)
+                < route.timeout_ms as f64 * FIRST_TRY_SHARE,
             route,
             organisation,
             service,
@@ -322,16 +339,9 @@
         };
         let picked = self.targets.pick(now_ms, need, draw);
         let Some((target, cost_ms)) = picked else {
-            let share = match self.targets.any_fits(now_ms, need) {
-                true => FULL_WAIT_SHARE,
-                false => WAIT_SHARE,
-            };
-            let patience_ms = request.route.goal_ms as f64 * share;
+            let is_full = self.targets.any_fits(now_ms, need);
             let waited_ms = now_ms.saturating_sub(since_ms);
-            if (waited_ms as f64) < patience_ms {
-                return Next::Wait(LOOK_AGAIN_MS);
-            }
-            return Next::Refuse(self.give_up(request, Code::NoTarget));
+            return self.wait_or_refuse(now_ms, request, waited_ms, is_full);
         };
         let waited_ms = now_ms.saturating_sub(request.arrived_ms) as f64;
         let is_late = waited_ms + cost_ms > request.route.goal_ms as f64;
@@ -354,6 +364,44 @@
         Next::Send(dispatch)
     }
 
+    /// What becomes of a request that no target takes now.
+    ///
+    /// Where targets are full it waits: late is better than never. Where
+    /// none serves, its first try is refused early, with the time when one
+    /// will: an answer in time from a second try is worth more than a late
+    /// one. A request that is back already waits, if a target will serve
+    /// before it is due.
+    fn wait_or_refuse(
+        &self,
+        now_ms: u64,
+        request: &Admission,
+        waited_ms: u64,
+        is_full: bool,
+    ) -> Next {
+        let left_ms = request.due_ms.saturating_sub(now_ms);
+        let ready_ms =
+            self.targets.ready_in_ms(now_ms, &request.service.name);
+        let share = match is_full {
+            true => FULL_WAIT_SHARE,
+            false => WAIT_SHARE,
+        };
+        let patience_ms = (request.route.goal_ms as f64 * share) as u64;
+        let will_serve = ready_ms.is_some_and(|ms| ms + SERVE_MS < left_ms);
+        let holds = !is_full && request.is_back && will_serve;
+        if waited_ms < patience_ms || holds {
+            return Next::Wait(LOOK_AGAIN_MS);
+        }
+        let mut refusal = self.give_up(request, Code::NoTarget);
+        if !is_full && refusal.retry_after_ms.is_some() {
+            // Callers heed a third of their time at most.
+            let most_ms = (left_ms / 3).max(RETRY_AFTER_MS);
+            let ready_ms = ready_ms.unwrap_or(UNKNOWN_READY_MS);
+            refusal.retry_after_ms =
+                Some(ready_ms.clamp(RETRY_AFTER_MS, most_ms));
+        }
+        Next::Refuse(refusal)
+    }
+
     /// Takes in how an attempt ended. Says whether the request may be sent
     /// again.
     pub fn ended(
--- a/crates/raildale-core/src/gateway/target.rs
+++ b/crates/raildale-core/src/gateway/target.rs
@@ -97,6 +97,13 @@
 /// answer's time. Measured on the benches' engines: about 1.1 s.
 const USUAL_RUN_MS: f64 = 1_100.0;
 
+/// Milliseconds that a missing chunk takes, while all targets fill at once:
+/// 48 chunks come in about 3 s on the benches.
+const CHUNK_MS: u64 = 65;
+
+/// Milliseconds from the last chunk until a target serves.
+const LOAD_MS: u64 = 450;
+
 /// What a certain failure counts for, in milliseconds of wait.
 const FAILURE_COST_MS: f64 = 2_500.0;
 
@@ -180,6 +187,16 @@
         (all + change * weight).max(f64::from(self.in_flight))
     }
 
+    /// Milliseconds until it will serve, as far as its agent's progress tells;
+    /// `None` if it serves already or nothing is known.
+    pub fn ready_in_ms(&self, now_ms: u64) -> Option<u64> {
+        let report = self.report(now_ms)?;
+        let is_coming = report.is_up
+            && (report.missing_chunks > 0 || !report.is_accepting);
+        let missing = u64::from(report.missing_chunks);
+        is_coming.then_some(missing * CHUNK_MS + LOAD_MS)
+    }
+
     /// Whether a request would begin there at once, or nearly: what waits
     /// here can still go to whichever target has room first.
     pub fn has_room(&self, now_ms: u64, senders: f64, spare: f64) -> bool {
--- a/crates/raildale-core/src/gateway/targets.rs
+++ b/crates/raildale-core/src/gateway/targets.rs
@@ -151,6 +151,12 @@
         self.of(need.service).any(|target| fits(target, now_ms, need))
     }
 
+    /// Milliseconds until the first target of a service that does not serve
+    /// now will; `None` if nothing is known.
+    pub fn ready_in_ms(&self, now_ms: u64, service: &str) -> Option<u64> {
+        self.of(service).filter_map(|t| t.ready_in_ms(now_ms)).min()
+    }
+
     fn of(&self, service: &str) -> impl Iterator<Item = &Target> {
         let ids = self.by_service.get(service).map_or(&[][..], |ids| ids);
         ids.iter().filter_map(|id| self.by_id.get(id))
