Nothing goes by a slow way to a target that must change over soon

Cause: chunks waiting at their sources were not bounded by the window, so that up to sixteen of them queued before a squeezed machine (5 s), and requests behind them started past the version's bound.

--- a/crates/raildale-core/src/gateway/targets.rs
+++ b/crates/raildale-core/src/gateway/targets.rs
@@ -46,6 +46,10 @@
 /// may wait in its target's queue before it starts.
 const SEND_MARGIN_MS: u64 = 1_000;
 
+/// A way to a target and back that takes longer is slow, in milliseconds:
+/// five times the longest between data centres leaves room for lost reports.
+const SLOW_WAY_MS: u64 = 250;
+
 /// Requests beyond its slots that a target gets: what frees between two
 /// reports is used at once.
 const SPARE_REQUESTS: f64 = 2.0;
@@ -202,20 +206,23 @@
 }
 
 fn fits(target: &Target, now_ms: u64, need: Need<'_>) -> bool {
-    let margin_ms = SEND_MARGIN_MS + 2 * target.round_trip_ms(now_ms);
-    let least_version = need
-        .bounds
-        .iter()
-        .filter(|bound| bound.left_ms <= margin_ms)
-        .map(|bound| bound.version)
-        .max()
-        .unwrap_or(0);
-    let has_weights = || {
-        target
-            .serves_version(now_ms)
-            .is_some_and(|version| version >= least_version)
-    };
     target.is_open(now_ms)
-        && (!need.needs_weights || has_weights())
+        && (!need.needs_weights || is_new_enough(target, now_ms, need.bounds))
         && !need.tried.contains(&target.spec.id)
 }
+
+/// Whether what is sent there now will start on a version that may still
+/// start then. While a bound is pending, an older target gets nothing by a
+/// slow way: what is on that way can no longer be taken back.
+fn is_new_enough(
+    target: &Target,
+    now_ms: u64,
+    bounds: &[VersionBound],
+) -> bool {
+    let Some(serves) = target.serves_version(now_ms) else { return false };
+    let is_slow = target.round_trip_ms(now_ms) > SLOW_WAY_MS;
+    bounds
+        .iter()
+        .filter(|bound| bound.version > serves)
+        .all(|bound| !is_slow && bound.left_ms > SEND_MARGIN_MS)
+}
--- a/crates/raildale-core/src/swarm/reducer.rs
+++ b/crates/raildale-core/src/swarm/reducer.rs
@@ -763,7 +763,8 @@
         let most = most.clamp(1, ORIGIN_PARALLEL_MOST);
         Room {
             at_once: self.window.size().saturating_sub(busy(false)),
-            waiting: WAITING_MOST.saturating_sub(busy(true)),
+            waiting: self.window.share(WAITING_MOST)
+                .saturating_sub(busy(true)),
             from_origin: most.saturating_sub(from_origin),
         }
     }
--- a/crates/raildale-core/src/swarm/window.rs
+++ b/crates/raildale-core/src/swarm/window.rs
@@ -29,6 +29,12 @@
         self.size as usize
     }
 
+    /// The part of another bound that the window leaves open, 1 at least.
+    pub fn share(&self, bound: usize) -> usize {
+        let open = self.size / self.most * bound as f64;
+        (open as usize).max(1)
+    }
+
     /// Takes in how long a chunk from another agent took.
     pub fn note(&mut self, took_ms: u64) {
         if took_ms > SLOW_MS {
