Overload: what cannot be in time is told when to come back

A first try that the queue here makes late is refused at once with the time that the queue takes; late requests leave slots free for those that can be in time; nothing waits longer than its caller does.

--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -7,6 +7,7 @@
     routes::{NoRoute, Organisation, Route, Routing, Service},
     target::{Outcome, Target},
     targets::{Need, Targets, VersionBound},
+    waiting::{RETRY_AFTER_LEAST_MS, Situation, Verdict, WaitingRoom},
 };
 use crate::{Code, Name};
 
@@ -59,6 +60,8 @@
     /// Whether it seems to have been refused before: its caller waits less
     /// than the route allows.
     pub is_back: bool,
+    /// Whether it is counted among those that wait here.
+    pub is_waiting: bool,
     /// Targets that it was sent to, oldest first.
     pub tried: Vec<Name>,
     /// Whether some target may have run it.
@@ -108,6 +111,7 @@
     budgets: HashMap<Name, RetryBudget>,
     versions: HashMap<Name, Vec<NamedVersion>>,
     entry_hosts: usize,
+    room: WaitingRoom,
 }
 
 /// A version of a model's weights and when this process heard of it.
@@ -126,28 +130,10 @@
 /// Milliseconds between two looks for a target that has room.
 const LOOK_AGAIN_MS: u64 = 20;
 
-/// The share of its goal that a request may wait here for a target.
-const WAIT_SHARE: f64 = 0.22;
-
-/// Goals that a request may wait here while targets serve it and are full:
-/// late is better than never.
-const FULL_WAIT_SHARE: f64 = 5.0;
-
 /// A try whose caller waits at least this share of the route's bound is its
 /// first.
 const FIRST_TRY_SHARE: f64 = 0.9;
 
-/// What a held request needs at its target at least, in milliseconds: an
-/// answer's usual time.
-const SERVE_MS: u64 = 900;
-
-/// When a target serves again if nothing is known of any, in milliseconds:
-/// an empty fleet is filled in about 4 s, half of it on the average.
-const UNKNOWN_READY_MS: u64 = 2_000;
-
-/// When a refused request is told to come back.
-const RETRY_AFTER_MS: u64 = 400;
-
 /// Time that the answer itself needs to reach the caller before the route's
 /// bound, in milliseconds.
 const ANSWER_MARGIN_MS: u64 = 30;
@@ -167,6 +153,9 @@
 /// in the same data centre, and others when theirs are full.
 const ALIKE_SHARE: f64 = 0.4;
 
+/// What a first event takes at a target with room, in milliseconds.
+const FIRST_EVENT_MS: u64 = 120;
+
 /// Urgency of a request that can still be in time.
 const URGENCY_IN_TIME: u8 = 3;
 
@@ -183,6 +172,7 @@
             budgets: HashMap::new(),
             versions: HashMap::new(),
             entry_hosts: 1,
+            room: WaitingRoom::new(),
         }
     }
 
@@ -300,12 +290,14 @@
             service,
             model: head.model.clone(),
             arrived_ms: now_ms,
+            is_waiting: false,
             tried: Vec::new(),
             may_have_run: false,
         })
     }
 
-    /// Where a request that waits goes now.
+    /// Where a request goes now. To be asked again after the time told as
+    /// long as it waits.
     ///
     /// `since_ms` is when it began to wait for this attempt.
     pub fn next(
@@ -314,6 +306,20 @@
         request: &mut Admission,
         since_ms: u64,
         draw: u32,
+    ) -> Next {
+        let next = self.choose(now_ms, request, since_ms, draw);
+        if !matches!(next, Next::Wait(_)) {
+            self.room.leave(request);
+        }
+        next
+    }
+
+    fn choose(
+        &mut self,
+        now_ms: u64,
+        request: &mut Admission,
+        since_ms: u64,
+        draw: u32,
     ) -> Next {
         if now_ms >= request.due_ms {
             return Next::Refuse(self.give_up(request, Code::DeadlinePassed));
@@ -330,7 +336,9 @@
         });
         let least_version =
             model.map_or(0, |model| self.least_version(now_ms, model, 0));
+        let waited_ms = now_ms.saturating_sub(request.arrived_ms);
         let need = Need {
+            is_late: waited_ms + FIRST_EVENT_MS > request.route.goal_ms,
             service: &request.service.name,
             data_centre: &self.config.data_centre,
             bounds: &bounds,
@@ -340,11 +348,10 @@
         let picked = self.targets.pick(now_ms, need, draw);
         let Some((target, cost_ms)) = picked else {
             let is_full = self.targets.any_fits(now_ms, need);
-            let waited_ms = now_ms.saturating_sub(since_ms);
-            return self.wait_or_refuse(now_ms, request, waited_ms, is_full);
+            return self.wait_or_refuse(now_ms, request, since_ms, is_full);
         };
-        let waited_ms = now_ms.saturating_sub(request.arrived_ms) as f64;
-        let is_late = waited_ms + cost_ms > request.route.goal_ms as f64;
+        let is_late =
+            waited_ms as f64 + cost_ms > request.route.goal_ms as f64;
         let dispatch = Dispatch {
             target: target.spec.id.clone(),
             address: target.spec.address,
@@ -365,41 +372,39 @@
     }
 
     /// What becomes of a request that no target takes now.
-    ///
-    /// Where targets are full it waits: late is better than never. Where
-    /// none serves, its first try is refused early, with the time when one
-    /// will: an answer in time from a second try is worth more than a late
-    /// one. A request that is back already waits, if a target will serve
-    /// before it is due.
     fn wait_or_refuse(
-        &self,
+        &mut self,
         now_ms: u64,
-        request: &Admission,
-        waited_ms: u64,
+        request: &mut Admission,
+        since_ms: u64,
         is_full: bool,
     ) -> Next {
-        let left_ms = request.due_ms.saturating_sub(now_ms);
-        let ready_ms =
-            self.targets.ready_in_ms(now_ms, &request.service.name);
-        let share = match is_full {
-            true => FULL_WAIT_SHARE,
-            false => WAIT_SHARE,
+        let service = &request.service;
+        let rate_per_s = self.targets.rate_per_s(now_ms, service)
+            / self.entry_hosts as f64;
+        let situation = Situation {
+            is_full,
+            ready_ms: self.targets.ready_in_ms(now_ms, &service.name),
+            rate_per_s,
         };
-        let patience_ms = (request.route.goal_ms as f64 * share) as u64;
-        let will_serve = ready_ms.is_some_and(|ms| ms + SERVE_MS < left_ms);
-        let holds = !is_full && request.is_back && will_serve;
-        if waited_ms < patience_ms || holds {
-            return Next::Wait(LOOK_AGAIN_MS);
-        }
-        let mut refusal = self.give_up(request, Code::NoTarget);
-        if !is_full && refusal.retry_after_ms.is_some() {
-            // Callers heed a third of their time at most.
-            let most_ms = (left_ms / 3).max(RETRY_AFTER_MS);
-            let ready_ms = ready_ms.unwrap_or(UNKNOWN_READY_MS);
-            refusal.retry_after_ms =
-                Some(ready_ms.clamp(RETRY_AFTER_MS, most_ms));
+        let waited_ms = now_ms.saturating_sub(since_ms);
+        match self.room.judge(now_ms, request, waited_ms, situation) {
+            Verdict::Wait => {
+                self.room.enter(request);
+                Next::Wait(LOOK_AGAIN_MS)
+            }
+            Verdict::GiveUp(back_ms) => {
+                let mut refusal = self.give_up(request, Code::NoTarget);
+                let is_not_run = refusal.retry_after_ms.is_some();
+                refusal.retry_after_ms = is_not_run.then_some(back_ms);
+                Next::Refuse(refusal)
+            }
         }
-        Next::Refuse(refusal)
+    }
+
+    /// A request no longer waits here: its caller has left.
+    pub fn stop_waiting(&mut self, request: &mut Admission) {
+        self.room.leave(request);
     }
 
     /// Takes in how an attempt ended. Says whether the request may be sent
@@ -507,5 +512,5 @@
 /// A refusal under a code; one that proves "not run" says when to come back.
 fn refusal(code: Code) -> Refusal {
     let is_worth_it = matches!(code.http_status(), 429 | 503);
-    Refusal { code, retry_after_ms: is_worth_it.then_some(RETRY_AFTER_MS) }
+    Refusal { code, retry_after_ms: is_worth_it.then_some(RETRY_AFTER_LEAST_MS) }
 }
--- a/crates/raildale-core/src/gateway/mod.rs
+++ b/crates/raildale-core/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //!
 //! * [`routes`]: which service a request is for, and on which terms.
 //! * [`targets`]: what is believed of each target, and which one to pick.
+//! * [`waiting`]: how long a request waits for a target, and what then.
 //! * [`retry_budget`]: how many repeats this process may still send.
 //! * [`event_stream`]: whole events out of a stream's bytes.
 
@@ -15,6 +16,7 @@
 pub mod routes;
 pub mod target;
 pub mod targets;
+pub mod waiting;
 
 pub use self::{
     admission::{Admission, Gateway, GatewayConfig, Refusal, RequestHead},
--- a/crates/raildale-core/src/gateway/routes.rs
+++ b/crates/raildale-core/src/gateway/routes.rs
@@ -121,6 +121,18 @@
     pub usual_answer_tokens: f64,
 }
 
+impl EngineSpec {
+    /// Milliseconds of a usual answer at a full target, prompts of others
+    /// read in between included.
+    pub fn usual_run_ms(&self) -> f64 {
+        /// What reading prompts adds to the steps of an answer.
+        const READING_SHARE: f64 = 0.25;
+        let step_ms =
+            self.step_ms + self.per_sequence_ms * f64::from(self.slots);
+        self.usual_answer_tokens * step_ms * (1.0 + READING_SHARE)
+    }
+}
+
 /// Who sends requests under a key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Organisation {
--- a/crates/raildale-core/src/gateway/targets.rs
+++ b/crates/raildale-core/src/gateway/targets.rs
@@ -5,7 +5,10 @@
     net::SocketAddr,
 };
 
-use super::target::{Outcome, Target, TargetReport, TargetSpec};
+use super::{
+    routes::{EngineSpec, Service},
+    target::{Outcome, Target, TargetReport, TargetSpec},
+};
 use crate::Name;
 
 /// The targets of a fleet.
@@ -29,6 +32,8 @@
     pub bounds: &'a [VersionBound],
     /// Whether the service's targets hold weights at all.
     pub needs_weights: bool,
+    /// Whether it can no longer be in time: those that can go first.
+    pub is_late: bool,
     /// Targets that had the request before.
     pub tried: &'a [Name],
 }
@@ -51,9 +56,13 @@
 const SLOW_WAY_MS: u64 = 250;
 
 /// Requests beyond its slots that a target gets: what frees between two
-/// reports is used at once.
+/// reports is used at once. Late requests leave as many slots free instead,
+/// for those that can still be in time.
 const SPARE_REQUESTS: f64 = 2.0;
 
+/// What a plain service's request usually takes, in milliseconds.
+const PLAIN_RUN_MS: f64 = 50.0;
+
 /// What crossing to another data centre counts for, in milliseconds: the way
 /// there and back, and the price of its bytes.
 const CROSSING_MS: f64 = 14.0;
@@ -161,6 +170,24 @@
         self.of(service).filter_map(|t| t.ready_in_ms(now_ms)).min()
     }
 
+    /// Requests that the open targets of a service finish in a second.
+    pub fn rate_per_s(&self, now_ms: u64, service: &Service) -> f64 {
+        let run_ms = service
+            .engine
+            .as_ref()
+            .map_or(PLAIN_RUN_MS, EngineSpec::usual_run_ms);
+        let slots: u32 = self
+            .of(&service.name)
+            .filter(|target| target.is_open(now_ms))
+            .filter(|target| {
+                service.engine.is_none()
+                    || target.serves_version(now_ms).is_some()
+            })
+            .map(|target| target.spec.slots)
+            .sum();
+        f64::from(slots) * 1e3 / run_ms.max(1.0)
+    }
+
     fn of(&self, service: &str) -> impl Iterator<Item = &Target> {
         let ids = self.by_service.get(service).map_or(&[][..], |ids| ids);
         ids.iter().filter_map(|id| self.by_id.get(id))
@@ -194,7 +221,11 @@
         let serves = target.serves_version(now_ms).unwrap_or(0);
         let newest = need.bounds.iter().map(|bound| bound.version).max();
         let is_old = newest.is_some_and(|version| serves < version);
-        let spare = if is_old { 0.0 } else { SPARE_REQUESTS };
+        let spare = match (is_old, need.is_late) {
+            (_, true) => -SPARE_REQUESTS,
+            (true, false) => 0.0,
+            (false, false) => SPARE_REQUESTS,
+        };
         target.has_room(now_ms, self.senders.max(1.0), spare)
     }
 
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -65,6 +65,13 @@
     _progress: Progress<P>,
 }
 
+impl<P: Dialect + Store + 'static> Drop for Exchange<P> {
+    fn drop(&mut self) {
+        let mut gateway = self.host.gateway.borrow_mut();
+        gateway.stop_waiting(&mut self.request);
+    }
+}
+
 /// An attempt whose answer's head has come.
 #[derive(Debug)]
 pub struct Opened<P: Dialect + Store + 'static> {
