--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -264,8 +264,7 @@
         head: &RequestHead,
         draw: u32,
     ) -> Result<Admission, Refusal> {
-        let routing =
-            self.routing.clone().ok_or(refusal(Code::NoTarget))?;
+        let routing = self.routing.clone().ok_or(refusal(Code::NoTarget))?;
         let path = head.path.split('?').next().unwrap_or("");
         let (route, organisation) = routing
             .find(&head.host, path, head.key.as_deref())
@@ -331,9 +330,8 @@
         let engine = request.service.engine.as_ref();
         let needs_weights = engine.is_some_and(|e| e.layer_count > 0);
         let model = request.model.as_deref();
-        let bounds = model.map_or_else(Vec::new, |model| {
-            self.version_bounds(now_ms, model)
-        });
+        let bounds = model
+            .map_or_else(Vec::new, |model| self.version_bounds(now_ms, model));
         let least_version =
             model.map_or(0, |model| self.least_version(now_ms, model, 0));
         let waited_ms = now_ms.saturating_sub(request.arrived_ms);
@@ -361,8 +359,7 @@
         let is_repeat = attempts > 0;
         let entry_hosts = self.entry_hosts;
         let service = request.service.name.clone();
-        if is_repeat
-            && !self.budget(&service).try_repeat(now_ms, entry_hosts)
+        if is_repeat && !self.budget(&service).try_repeat(now_ms, entry_hosts)
         {
             return Next::Refuse(self.give_up(request, Code::TargetBusy));
         }
@@ -380,8 +377,8 @@
         is_full: bool,
     ) -> Next {
         let service = &request.service;
-        let rate_per_s = self.targets.rate_per_s(now_ms, service)
-            / self.entry_hosts as f64;
+        let rate_per_s =
+            self.targets.rate_per_s(now_ms, service) / self.entry_hosts as f64;
         let situation = Situation {
             is_full,
             ready_ms: self.targets.ready_in_ms(now_ms, &service.name),
@@ -455,8 +452,8 @@
         has_begun: bool,
     ) -> bool {
         let tries = request.tried.len() as u32;
-        let may_move = request.route.may_repeat()
-            && tries < request.route.max_attempts;
+        let may_move =
+            request.route.may_repeat() && tries < request.route.max_attempts;
         if !may_move || silent_ms < SUSPECT_AFTER_MS {
             return false;
         }
@@ -512,5 +509,8 @@
 /// A refusal under a code; one that proves "not run" says when to come back.
 fn refusal(code: Code) -> Refusal {
     let is_worth_it = matches!(code.http_status(), 429 | 503);
-    Refusal { code, retry_after_ms: is_worth_it.then_some(RETRY_AFTER_LEAST_MS) }
+    Refusal {
+        code,
+        retry_after_ms: is_worth_it.then_some(RETRY_AFTER_LEAST_MS),
+    }
 }
--- a/crates/raildale-core/src/gateway/target.rs
+++ b/crates/raildale-core/src/gateway/target.rs
@@ -222,7 +222,8 @@
             self.report(now_ms).map_or(1.0, |report| report.pace.max(0.1));
         let waiting = (load + 1.0 - slots).max(0.0) * USUAL_RUN_MS / slots;
         let crowded = load.min(slots) * CROWDING_MS;
-        (waiting + crowded) * pace + self.round_trip_ms(now_ms) as f64
+        (waiting + crowded) * pace
+            + self.round_trip_ms(now_ms) as f64
             + (pace - 1.0).max(0.0) * 100.0
             + self.failures.rate(now_ms) * FAILURE_COST_MS
     }
--- a/crates/raildale-core/src/gateway/targets.rs
+++ b/crates/raildale-core/src/gateway/targets.rs
@@ -230,8 +230,11 @@
     }
 
     fn cost_for(&self, target: &Target, now_ms: u64, need: Need<'_>) -> f64 {
-        let crossing =
-            if &*target.spec.data_centre == need.data_centre { 0.0 } else { CROSSING_MS };
+        let crossing = if &*target.spec.data_centre == need.data_centre {
+            0.0
+        } else {
+            CROSSING_MS
+        };
         target.cost_ms(now_ms, self.senders.max(1.0)) + crossing
     }
 }
--- a/crates/raildale-core/src/gateway/waiting.rs
+++ b/crates/raildale-core/src/gateway/waiting.rs
@@ -115,8 +115,8 @@
         let ahead = self.ahead(request);
         let expected_ms =
             (f64::from(ahead) * 1e3 / situation.rate_per_s.max(1.0)) as u64;
-        let is_hopeless = expected_ms as f64
-            > request.route.goal_ms as f64 * HOPELESS_SHARE;
+        let is_hopeless =
+            expected_ms as f64 > request.route.goal_ms as f64 * HOPELESS_SHARE;
         let is_new = !request.is_back && !request.is_waiting;
         let is_over = left_ms <= FIRST_EVENT_MS;
         if is_over || is_new && is_hopeless && request.tried.is_empty() {
--- a/crates/raildale-core/src/swarm/reducer.rs
+++ b/crates/raildale-core/src/swarm/reducer.rs
@@ -432,8 +432,7 @@
         let came = result.is_ok();
         let is_lost = result == Err(FetchError::Lost);
         let was_whole = held.is_whole();
-        let is_kept =
-            result.is_ok_and(|data| held.keep(index as usize, data));
+        let is_kept = result.is_ok_and(|data| held.keep(index as usize, data));
         let slot = &mut held.slots[index as usize];
         if is_kept {
             slot.failures = 0;
@@ -470,8 +469,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let Some(held) = self.versions.get_mut(&version) else { return };
-        let waiters =
-            std::mem::take(&mut held.slots[index as usize].waiters);
+        let waiters = std::mem::take(&mut held.slots[index as usize].waiters);
         if let Some(data) = held.chunk(index as usize) {
             for waiter in waiters {
                 let content = Content::Chunk(data.clone());
@@ -530,8 +528,7 @@
             } else if now_ms > since_ms + LOAD_TIMEOUT_MS {
                 self.phase = SwapPhase::Idle;
                 let detail = format!("version={version} reason=no effect");
-                effects
-                    .push(Effect::Log(LogEvent::ActivationFailed, detail));
+                effects.push(Effect::Log(LogEvent::ActivationFailed, detail));
             }
         }
         if is_news {
@@ -645,8 +642,7 @@
         let wanted = self.wanted();
         let is_due = now_ms >= self.told_ms + PROGRESS_EVERY_MS;
         let Some(held) = self.versions.get(&wanted) else { return };
-        if !is_due || held.is_whole() || self.target.serves_version >= wanted
-        {
+        if !is_due || held.is_whole() || self.target.serves_version >= wanted {
             return;
         }
         self.told_ms = now_ms;
@@ -763,7 +759,9 @@
         let most = most.clamp(1, ORIGIN_PARALLEL_MOST);
         Room {
             at_once: self.window.size().saturating_sub(busy(false)),
-            waiting: self.window.share(WAITING_MOST)
+            waiting: self
+                .window
+                .share(WAITING_MOST)
                 .saturating_sub(busy(true)),
             from_origin: most.saturating_sub(from_origin),
         }
@@ -916,8 +914,7 @@
         room.from_origin -= 1;
     }
     let may_wait = !sources.holds(source, version);
-    let place =
-        if may_wait { &mut room.waiting } else { &mut room.at_once };
+    let place = if may_wait { &mut room.waiting } else { &mut room.at_once };
     if *place == 0 {
         return;
     }
--- a/crates/raildale-core/src/swarm/sources.rs
+++ b/crates/raildale-core/src/swarm/sources.rs
@@ -136,7 +136,8 @@
         if let Some(peer) = self.holder_here(version, turn) {
             return Source::Peer(peer);
         }
-        let owner_here = self.owner(&self.data_centre, key + failures as usize);
+        let owner_here =
+            self.owner(&self.data_centre, key + failures as usize);
         match owner_here {
             Some(owner) if owner != self.own_ip && hops == 0 => {
                 Source::Peer(owner)
@@ -192,10 +193,7 @@
     }
 
     fn own_place(&self) -> usize {
-        self.peers
-            .iter()
-            .position(|peer| peer.ip == self.own_ip)
-            .unwrap_or(0)
+        self.peers.iter().position(|peer| peer.ip == self.own_ip).unwrap_or(0)
     }
 
     fn of<'a>(
--- a/crates/raildale/src/fleet/agent/reports.rs
+++ b/crates/raildale/src/fleet/agent/reports.rs
@@ -121,9 +121,7 @@
         .filter_map(|agent| {
             Some(Peer {
                 ip: IpAddr::V4(Ipv4Addr::from(agent.ip)),
-                data_centre: centres
-                    .get(agent.data_centre as usize)?
-                    .clone(),
+                data_centre: centres.get(agent.data_centre as usize)?.clone(),
                 whole_version: agent.whole_version,
                 serves_version: agent.serves_version,
             })
--- a/crates/raildale/src/fleet/agent/worker.rs
+++ b/crates/raildale/src/fleet/agent/worker.rs
@@ -6,8 +6,8 @@
     LogEvent, Name,
     catalog::Kind,
     swarm::{
-        Effect, Event, FetchError, Item, Peer, Source, Swarm, SwarmConfig,
-        SwapConfig,
+        Effect, Event, FetchError, Item, Peer, Source, SwapConfig, Swarm,
+        SwarmConfig,
     },
 };
 use tokio::{
@@ -149,7 +149,8 @@
             self.reports.send(&self.swarm.report()).await;
         }
         let now = now_ms();
-        let is_unbriefed = now > self.reports.last_briefing_ms() + UNBRIEFED_MS;
+        let is_unbriefed =
+            now > self.reports.last_briefing_ms() + UNBRIEFED_MS;
         let needs_facts =
             self.facts.model.is_none() || self.facts.origin.is_none();
         let is_due = now > self.asked_store_ms + STORE_PAUSE_MS;
@@ -303,7 +304,9 @@
         let Ok(snapshot) = listed else { return };
         for object in &snapshot.objects {
             match self.platform.named_weights(&object.body) {
-                Ok(named) if Some(&named.model) == self.facts.model.as_ref() => {
+                Ok(named)
+                    if Some(&named.model) == self.facts.model.as_ref() =>
+                {
                     let version = named.version;
                     let named_ms = now_ms();
                     self.take(Event::Named { version, named_ms }).await;
@@ -325,7 +328,9 @@
             .map(|spec| Peer {
                 ip: spec.address.ip(),
                 data_centre: spec.data_centre,
-                whole_version: spec.serves_version.unwrap_or(0),
+                // The list may be older than a loss of power: who holds
+                // what is believed from briefings alone.
+                whole_version: 0,
                 serves_version: spec.serves_version.unwrap_or(0),
             })
             .collect();
--- a/crates/raildale/src/fleet/edge.rs
+++ b/crates/raildale/src/fleet/edge.rs
@@ -127,12 +127,18 @@
     fn request_head(&self, head: &request::Parts) -> Option<RequestHead>;
 
     /// The headers of a request towards a target.
-    fn target_headers(&self, caller: &HeaderMap, terms: &SendTerms)
-    -> HeaderMap;
+    fn target_headers(
+        &self,
+        caller: &HeaderMap,
+        terms: &SendTerms,
+    ) -> HeaderMap;
 
     /// Reads an answer's head.
-    fn answer_head(&self, head: &response::Parts, request_id: &str)
-    -> AnswerHead;
+    fn answer_head(
+        &self,
+        head: &response::Parts,
+        request_id: &str,
+    ) -> AnswerHead;
 
     /// The headers of an answer that go to the caller.
     fn caller_headers(&self, target: &HeaderMap) -> HeaderMap;
@@ -233,4 +239,3 @@
         index: u32,
     ) -> impl Future<Output = Option<Bytes>>;
 }
-
--- a/crates/raildale/src/fleet/entry/callers.rs
+++ b/crates/raildale/src/fleet/entry/callers.rs
@@ -177,9 +177,7 @@
     match (host.platform.is_readiness_path(path), host.is_ready()) {
         (false, _) => plain(StatusCode::NOT_FOUND, String::new()),
         (true, true) => plain(StatusCode::OK, String::new()),
-        (true, false) => {
-            plain(StatusCode::SERVICE_UNAVAILABLE, String::new())
-        }
+        (true, false) => plain(StatusCode::SERVICE_UNAVAILABLE, String::new()),
     }
 }
 
--- a/crates/raildale/src/fleet/entry/peers.rs
+++ b/crates/raildale/src/fleet/entry/peers.rs
@@ -267,8 +267,7 @@
             continue;
         }
         let count = centres.len() as u32;
-        let place =
-            *centres.entry(spec.data_centre.clone()).or_insert(count);
+        let place = *centres.entry(spec.data_centre.clone()).or_insert(count);
         let report = target.report(now);
         entries.push(AgentEntry {
             ip: u32::from(ip),
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -294,8 +294,7 @@
                 Some(Ok(response)) => {
                     attempt.connection = Some(connection);
                     let is_event_stream = false;
-                    let opened =
-                        Opened { response, attempt, is_event_stream };
+                    let opened = Opened { response, attempt, is_event_stream };
                     return Ok(Some(opened));
                 }
                 Some(Err(SendFailure::NotSent)) => continue,
@@ -507,11 +506,7 @@
     P: Dialect + Store + 'static,
 {
     let number = refusal.code.number().to_string();
-    host.metrics.add(
-        "refused_total",
-        &format!("code=\"{number}\""),
-        1,
-    );
+    host.metrics.add("refused_total", &format!("code=\"{number}\""), 1);
     let text = Bytes::from(refusal.code.to_string());
     let mut response = Response::new(callers::whole(text));
     *response.status_mut() = StatusCode::from_u16(refusal.code.http_status())
--- a/crates/raildale/src/fleet/entry/upstream.rs
+++ b/crates/raildale/src/fleet/entry/upstream.rs
@@ -155,7 +155,11 @@
         self.idle.borrow_mut().remove(&address);
     }
 
-    fn take(&self, address: SocketAddr, may_repeat: bool) -> Option<Connection> {
+    fn take(
+        &self,
+        address: SocketAddr,
+        may_repeat: bool,
+    ) -> Option<Connection> {
         let most = if may_repeat { IDLE_MOST } else { IDLE_MOST_ONCE };
         let mut all = self.idle.borrow_mut();
         let kept = all.get_mut(&address)?;
