--- /dev/null
+++ b/crates/raildale-core/tests/event_stream.rs
@@ -0,0 +1,41 @@
+//! Whole events leave, whatever the pieces in which the bytes come.
+
+use bytes::Bytes;
+use raildale_core::gateway::EventSplitter;
+use yare::parameterized;
+
+const STREAM: &[u8] =
+    b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+
+#[parameterized(
+    by_bytes = { 1 },
+    torn_inside_an_event = { 7 },
+    torn_between_newlines = { 15 },
+    whole = { 1_000 },
+)]
+fn any_pieces_give_the_same_stream(size: usize) {
+    let mut splitter = EventSplitter::new();
+    let mut out = Vec::new();
+    for piece in STREAM.chunks(size) {
+        if let Some(whole) = splitter.push(Bytes::copy_from_slice(piece)) {
+            assert!(whole.ends_with(b"\n\n"), "only whole events leave");
+            out.extend_from_slice(&whole);
+        }
+    }
+    assert_eq!(out, STREAM);
+    assert_eq!(splitter.last_id(), Some("3"));
+    assert!(!splitter.is_torn());
+}
+
+#[test]
+fn a_torn_event_is_held_back_and_its_id_does_not_count() {
+    let mut splitter = EventSplitter::new();
+    let torn = Bytes::from_static(b"id: 1\ndata: a\n\nid: 2\nda");
+    let whole = splitter.push(torn).expect("one event is whole");
+    assert_eq!(&whole[..], b"id: 1\ndata: a\n\n");
+    assert_eq!(splitter.last_id(), Some("1"));
+    assert!(splitter.is_torn());
+    splitter.drop_torn();
+    let next = splitter.push(Bytes::from_static(b"id: 2\ndata: b\n\n"));
+    assert_eq!(next.as_deref(), Some(&b"id: 2\ndata: b\n\n"[..]));
+}
--- /dev/null
+++ b/crates/raildale-core/tests/gateway.rs
@@ -0,0 +1,378 @@
+//! What an entry host decides about requests, case by case.
+
+use std::net::SocketAddr;
+
+use raildale_core::{
+    Code, Name,
+    gateway::{
+        Admission, Gateway, GatewayConfig, Outcome, RequestHead, Route,
+        RouteKind, Routing, Service, TargetReport, TargetSpec,
+        admission::{NamedVersion, Next},
+        retry_budget::{RetryBound, RetryBudget},
+        routes::{EngineSpec, NoRoute, Organisation},
+    },
+};
+use yare::parameterized;
+
+const START_MS: u64 = 1_000_000;
+const VERSION_MS: u64 = 8_000;
+
+fn route(host: &str, prefix: &str, service: &str, kind: RouteKind) -> Route {
+    Route {
+        name: Name::from(format!("{host}{prefix}")),
+        host: Name::from(host),
+        path_prefix: Name::from(prefix),
+        kind,
+        timeout_ms: 6_000,
+        goal_ms: 400,
+        gap_goal_ms: 300,
+        priority: 1,
+        backends: vec![(Name::from(service), 1)],
+        max_attempts: 2,
+        is_public: false,
+        is_resumable: kind == RouteKind::Streaming,
+    }
+}
+
+fn engine() -> EngineSpec {
+    EngineSpec {
+        slots: 2,
+        models: vec![Name::from("m")],
+        chunk_count: 4,
+        layer_count: 16,
+        step_ms: 7.4,
+        per_sequence_ms: 0.04,
+        usual_answer_tokens: 106.0,
+        ..EngineSpec::default()
+    }
+}
+
+fn routing() -> Routing {
+    let organisation = Organisation { name: "club".into(), priority: None };
+    Routing::new(7)
+        .with_route(route("a", "/", "plain", RouteKind::Idempotent))
+        .with_route(route("a", "/deep/", "model", RouteKind::Streaming))
+        .with_route(route("a", "/once/", "plain", RouteKind::NonIdempotent))
+        .with_service(Service {
+            name: "model".into(),
+            engine: Some(engine()),
+            ..Service::default()
+        })
+        .with_service(Service { name: "plain".into(), ..Service::default() })
+        .with_organisation(organisation, [Name::from("key")])
+}
+
+fn target(
+    id: &str,
+    service: &str,
+    last: u8,
+    version: Option<u64>,
+) -> TargetSpec {
+    TargetSpec {
+        id: Name::from(id),
+        service: Name::from(service),
+        address: SocketAddr::from(([10, 0, 0, last], 80)),
+        data_centre: Name::from("here"),
+        slots: 2,
+        is_draining: false,
+        serves_version: version,
+    }
+}
+
+fn report(version: u64) -> TargetReport {
+    TargetReport {
+        is_up: true,
+        is_accepting: true,
+        serves_version: version,
+        pace: 1.0,
+        ..TargetReport::default()
+    }
+}
+
+fn gateway() -> Gateway {
+    let mut gateway = Gateway::new(GatewayConfig {
+        data_centre: "here".into(),
+        retries: RetryBound { ratio: 0.2, extra: 100.0, window_ms: 10_000 },
+        version_ms: VERSION_MS,
+    });
+    assert!(gateway.set_routing(routing()));
+    gateway
+}
+
+fn head(path: &str) -> RequestHead {
+    RequestHead {
+        id: "r1".into(),
+        host: "a".into(),
+        path: path.into(),
+        key: Some("key".into()),
+        deadline_ms: Some(6_000),
+        model: Some("m".into()),
+        resume_after: None,
+    }
+}
+
+fn admit(gateway: &mut Gateway, path: &str) -> Admission {
+    gateway.admit(START_MS, &head(path), 0).expect("the request is let in")
+}
+
+fn sent(next: Next) -> Option<Name> {
+    match next {
+        Next::Send(dispatch) => Some(dispatch.target),
+        Next::Wait(_) | Next::Refuse(_) => None,
+    }
+}
+
+#[parameterized(
+    longest_prefix_wins = { "a", "/deep/x", Some("key"), Ok("a/deep/") },
+    short_prefix = { "a", "/other", Some("key"), Ok("a/") },
+    unknown_host = { "b", "/", Some("key"), Err(NoRoute::Unknown) },
+    no_key = { "a", "/", None, Err(NoRoute::Unauthorised) },
+    wrong_key = { "a", "/", Some("no"), Err(NoRoute::Unauthorised) },
+)]
+fn a_route_is_found(
+    host: &str,
+    path: &str,
+    key: Option<&str>,
+    expected: Result<&str, NoRoute>,
+) {
+    let found = routing().find(host, path, key);
+    let found = found.map(|(route, _)| route.name.to_string());
+    assert_eq!(found, expected.map(str::to_string));
+}
+
+#[test]
+fn an_older_configuration_is_refused() {
+    let mut gateway = gateway();
+    assert!(!gateway.set_routing(Routing::new(6)));
+    assert_eq!(gateway.routing().map(|routing| routing.version), Some(7));
+}
+
+#[test]
+fn a_split_route_follows_its_weights() {
+    let mut split = route("a", "/", "one", RouteKind::Idempotent);
+    split.backends = vec![("one".into(), 90), ("two".into(), 10)];
+    let twos = (0..100)
+        .filter(|draw| split.service(*draw).is_some_and(|s| &**s == "two"))
+        .count();
+    assert_eq!(twos, 10);
+}
+
+#[parameterized(
+    empty = { None, false },
+    whole = { Some(1), true },
+)]
+fn weights_are_needed(version: Option<u64>, is_sent: bool) {
+    let mut gateway = gateway();
+    gateway.targets.put(target("t", "model", 1, version));
+    let mut request = admit(&mut gateway, "/deep/");
+    let next = gateway.next(START_MS, &mut request, START_MS, 0);
+    assert_eq!(sent(next).is_some(), is_sent);
+}
+
+#[parameterized(
+    long_before_the_bound = { 1_000, 0, true },
+    shortly_before_the_bound = { VERSION_MS - 500, 0, false },
+    after_the_bound = { VERSION_MS + 1, 0, false },
+    by_a_slow_way = { 1_000, 600, false },
+)]
+fn an_old_version_gets_nothing_that_starts_too_late(
+    age_ms: u64,
+    round_trip_ms: u64,
+    is_sent: bool,
+) {
+    let mut gateway = gateway();
+    gateway.targets.put(target("t", "model", 1, Some(1)));
+    let named_ms = START_MS - age_ms;
+    gateway.note_version("m".into(), NamedVersion { version: 2, named_ms });
+    let address = SocketAddr::from(([10, 0, 0, 1], 80));
+    let report = TargetReport { round_trip_ms, ..report(1) };
+    gateway.targets.note_report(START_MS, address, report);
+    let mut request = admit(&mut gateway, "/deep/");
+    let next = gateway.next(START_MS, &mut request, START_MS, 0);
+    assert_eq!(sent(next).is_some(), is_sent);
+}
+
+#[test]
+fn what_waits_at_an_old_version_is_withdrawn_before_the_bound() {
+    let mut gateway = gateway();
+    gateway.targets.put(target("t", "model", 1, Some(1)));
+    let version = NamedVersion { version: 2, named_ms: START_MS };
+    gateway.note_version("m".into(), version);
+    let request = admit(&mut gateway, "/deep/");
+    let late_ms = START_MS + VERSION_MS - 300;
+    assert!(!gateway.is_too_old(START_MS + 1_000, &request, "t"));
+    assert!(gateway.is_too_old(late_ms, &request, "t"));
+}
+
+#[parameterized(
+    draining = { true, true },
+    about_to_swap = { false, false },
+)]
+fn a_closed_target_gets_nothing(is_draining: bool, is_accepting: bool) {
+    let mut gateway = gateway();
+    let spec = target("t", "model", 1, Some(1));
+    gateway.targets.put(TargetSpec { is_draining, ..spec });
+    let address = SocketAddr::from(([10, 0, 0, 1], 80));
+    let report = TargetReport { is_accepting, ..report(1) };
+    gateway.targets.note_report(START_MS, address, report);
+    let mut request = admit(&mut gateway, "/deep/");
+    let next = gateway.next(START_MS, &mut request, START_MS, 0);
+    assert_eq!(sent(next), None);
+}
+
+#[test]
+fn entry_hosts_that_choose_alike_do_not_flood_one_target() {
+    let mut gateway = gateway();
+    gateway.set_entry_hosts(6);
+    for last in 1..=2 {
+        let id = format!("t{last}");
+        let slots = 16;
+        let spec = target(&id, "model", last, Some(1));
+        gateway.targets.put(TargetSpec { slots, ..spec });
+        let address = SocketAddr::from(([10, 0, 0, last], 80));
+        let running = u32::from(last - 1) * 4;
+        let report = TargetReport { running, ..report(1) };
+        gateway.targets.note_report(START_MS, address, report);
+    }
+    let mut counts = [0; 2];
+    for draw in 0..6 {
+        let mut request = admit(&mut gateway, "/deep/");
+        let next = gateway.next(START_MS, &mut request, START_MS, draw);
+        let id = sent(next).expect("there is room");
+        counts[usize::from(&*id == "t2")] += 1;
+    }
+    assert_eq!(counts, [4, 2], "the idler one is not sent all six");
+}
+
+#[parameterized(
+    stream_breaks = { "/deep/", Outcome::Broken, true },
+    repeatable_breaks = { "/x", Outcome::Broken, true },
+    once_breaks = { "/once/", Outcome::Broken, false },
+    once_is_refused = { "/once/", Outcome::Refused, true },
+    once_is_not_reached = { "/once/", Outcome::Unreachable, true },
+    whole = { "/x", Outcome::Whole, false },
+)]
+fn only_what_may_run_twice_is_sent_again(
+    path: &str,
+    outcome: Outcome,
+    again: bool,
+) {
+    let mut gateway = gateway();
+    let mut request = admit(&mut gateway, path);
+    let may = gateway.ended(START_MS, &mut request, "t", outcome);
+    assert_eq!(may, again);
+}
+
+#[test]
+fn what_may_have_run_is_never_called_not_run() {
+    let mut gateway = gateway();
+    let mut request = admit(&mut gateway, "/once/");
+    gateway.ended(START_MS, &mut request, "t", Outcome::Broken);
+    for code in [Code::NoTarget, Code::DeadlinePassed, Code::TargetBusy] {
+        let refusal = gateway.give_up(&request, code);
+        assert_eq!(refusal.code, Code::Unknown);
+        assert_eq!(refusal.retry_after_ms, None);
+    }
+}
+
+#[test]
+fn attempts_are_bounded_by_the_route() {
+    let mut gateway = gateway();
+    for last in 1..=3 {
+        gateway.targets.put(target(&format!("t{last}"), "plain", last, None));
+    }
+    let mut request = admit(&mut gateway, "/x");
+    for _ in 0..2 {
+        let next = gateway.next(START_MS, &mut request, START_MS, 0);
+        let id = sent(next).expect("an attempt is left");
+        gateway.ended(START_MS, &mut request, &id, Outcome::Refused);
+    }
+    let next = gateway.next(START_MS, &mut request, START_MS, 0);
+    let Next::Refuse(refusal) = next else { panic!("a third attempt") };
+    assert_eq!(refusal.code, Code::TargetBusy);
+}
+
+#[test]
+fn a_first_try_is_told_when_a_target_will_serve() {
+    let mut gateway = gateway();
+    gateway.targets.put(target("t", "model", 1, None));
+    let address = SocketAddr::from(([10, 0, 0, 1], 80));
+    let missing_chunks = 10;
+    let report = TargetReport { missing_chunks, ..report(0) };
+    gateway.targets.note_report(START_MS, address, report);
+    let mut request = admit(&mut gateway, "/deep/");
+    let later_ms = START_MS + 200;
+    let next = gateway.next(later_ms, &mut request, START_MS, 0);
+    let Next::Refuse(refusal) = next else { panic!("it waits on") };
+    assert_eq!(refusal.code, Code::NoTarget);
+    assert_eq!(refusal.retry_after_ms, Some(10 * 65 + 450));
+}
+
+#[test]
+fn a_try_that_is_back_waits_for_a_target_that_will_serve() {
+    let mut gateway = gateway();
+    gateway.targets.put(target("t", "model", 1, None));
+    let address = SocketAddr::from(([10, 0, 0, 1], 80));
+    let report = TargetReport { missing_chunks: 10, ..report(0) };
+    gateway.targets.note_report(START_MS, address, report);
+    let back = RequestHead { deadline_ms: Some(4_000), ..head("/deep/") };
+    let mut request =
+        gateway.admit(START_MS, &back, 0).expect("the request is let in");
+    let later_ms = START_MS + 200;
+    let next = gateway.next(later_ms, &mut request, START_MS, 0);
+    assert!(matches!(next, Next::Wait(_)), "{next:?}");
+}
+
+#[test]
+fn in_an_overload_a_late_first_try_is_refused_at_once() {
+    let mut gateway = gateway();
+    gateway.targets.put(target("t", "model", 1, Some(1)));
+    let address = SocketAddr::from(([10, 0, 0, 1], 80));
+    let report = TargetReport { running: 9, ..report(1) };
+    gateway.targets.note_report(START_MS, address, report);
+    let mut waiting = admit(&mut gateway, "/deep/");
+    let next = gateway.next(START_MS, &mut waiting, START_MS, 0);
+    assert!(matches!(next, Next::Wait(_)), "the queue is empty: {next:?}");
+    let mut late = admit(&mut gateway, "/deep/");
+    let next = gateway.next(START_MS, &mut late, START_MS, 0);
+    assert!(matches!(next, Next::Refuse(_)), "{next:?}");
+    gateway.stop_waiting(&mut waiting);
+    let mut third = admit(&mut gateway, "/deep/");
+    let next = gateway.next(START_MS, &mut third, START_MS, 0);
+    assert!(matches!(next, Next::Wait(_)), "the queue is empty: {next:?}");
+}
+
+#[parameterized(
+    agent_heard = { 100, 400, false },
+    agent_silent = { 1_200, 400, true },
+    agent_silent_for_a_moment = { 1_200, 100, false },
+)]
+fn a_silent_target_is_given_up(
+    report_age_ms: u64,
+    silent_ms: u64,
+    is_lost: bool,
+) {
+    let mut gateway = gateway();
+    gateway.targets.put(target("t", "model", 1, Some(1)));
+    let address = SocketAddr::from(([10, 0, 0, 1], 80));
+    let heard_ms = START_MS - report_age_ms;
+    gateway.targets.note_report(heard_ms, address, report(1));
+    let mut request = admit(&mut gateway, "/deep/");
+    request.tried.push("t".into());
+    let lost = gateway.is_lost(START_MS, &request, "t", silent_ms, false);
+    assert_eq!(lost, is_lost);
+}
+
+#[test]
+fn repeats_stay_within_the_share_of_the_bound() {
+    let bound = RetryBound { ratio: 0.2, extra: 100.0, window_ms: 10_000 };
+    let mut budget = RetryBudget::new(bound);
+    for _ in 0..100 {
+        budget.note_request(START_MS);
+    }
+    let granted = (0..200).filter(|_| budget.try_repeat(START_MS, 5)).count();
+    // (0.2 x 100 + 100 / 5) x 0.85
+    assert_eq!(granted, 34);
+    let later_ms = START_MS + 20_000;
+    assert!(budget.try_repeat(later_ms, 5), "the window has moved on");
+}
--- /dev/null
+++ b/crates/raildale-core/tests/members.rs
@@ -0,0 +1,88 @@
+//! Which entry hosts callers are told of.
+
+use std::net::{IpAddr, Ipv4Addr};
+
+use raildale_core::{
+    Name,
+    catalog::Kind,
+    members::{Heartbeat, MemberEntry, Members, SILENT_MS},
+};
+
+const START_MS: u64 = 1_000_000;
+
+fn entry(centre: &str, last: u8) -> MemberEntry {
+    MemberEntry {
+        name: Name::from(format!("{centre}-{last}")),
+        ip: IpAddr::V4(Ipv4Addr::new(10, 0, 0, last)),
+        data_centre: Name::from(centre),
+    }
+}
+
+fn ready() -> Heartbeat {
+    Heartbeat { is_ready: true, ..Heartbeat::default() }
+}
+
+/// Three entry hosts in `a`, two in `b`, one in `c`; this one is the first.
+fn members() -> Members {
+    let mut members = Members::new(entry("a", 1));
+    for (centre, last) in [("a", 2), ("a", 3), ("b", 4), ("b", 5), ("c", 6)] {
+        members.heard(START_MS, entry(centre, last), ready());
+    }
+    members
+}
+
+fn told(members: &Members, now_ms: u64, centre: &str) -> Vec<u8> {
+    members
+        .addresses_for(now_ms, centre, true, 0)
+        .into_iter()
+        .map(|ip| match ip {
+            IpAddr::V4(ip) => ip.octets()[3],
+            IpAddr::V6(_) => 0,
+        })
+        .collect()
+}
+
+#[test]
+fn callers_are_sent_near_and_evenly() {
+    let members = members();
+    assert_eq!(told(&members, START_MS, "a"), [1, 2, 3]);
+    assert_eq!(told(&members, START_MS, "b"), [4, 5]);
+    let crowded = told(&members, START_MS, "c");
+    assert_eq!(crowded[0], 6);
+    assert_eq!(crowded.len(), 2, "the only one there gets help");
+    assert!(crowded[1] <= 3, "from where most are: {crowded:?}");
+}
+
+#[test]
+fn silent_leaving_and_unready_ones_are_left_out() {
+    let mut members = members();
+    let later_ms = START_MS + SILENT_MS + 1;
+    let leaving = Heartbeat { is_leaving: true, ..ready() };
+    members.heard(later_ms, entry("a", 2), leaving);
+    members.heard(later_ms, entry("a", 3), Heartbeat::default());
+    members.heard(later_ms, entry("b", 4), ready());
+    assert_eq!(told(&members, later_ms, "b"), [4]);
+    assert_eq!(told(&members, later_ms, "a"), [1]);
+}
+
+#[test]
+fn without_any_other_callers_are_sent_here() {
+    let members = Members::new(entry("a", 1));
+    assert_eq!(told(&members, START_MS, "elsewhere"), [1]);
+}
+
+#[test]
+fn one_that_stays_ahead_is_asked() {
+    let mut members = members();
+    let ahead = Heartbeat { revisions: vec![9], ..ready() };
+    members.heard(START_MS, entry("b", 4), ahead);
+    let kind = Kind::Configuration;
+    assert_eq!(
+        members.ahead(START_MS, kind, 8),
+        None,
+        "the watch may bring it"
+    );
+    let asked = members.ahead(START_MS + 300, kind, 8);
+    assert_eq!(asked, Some(entry("b", 4).ip));
+    assert_eq!(members.ahead(START_MS + 301, kind, 9), None);
+}
