--- a/crates/raildale/src/fleet/agent/worker.rs
+++ b/crates/raildale/src/fleet/agent/worker.rs
@@ -265,14 +265,20 @@
     /// and the origin, which they do not.
     async fn ask_store(&mut self) {
         self.asked_store_ms = now_ms();
-        self.ask_routing().await;
+        let layout = self.ask_routing().await;
         self.ask_versions().await;
         self.ask_targets().await;
+        // Last: transfers begin with it, and an agent that knows of no other
+        // would take everything from the origin.
+        if let Some(layout) = layout {
+            self.take(layout).await;
+        }
     }
 
-    async fn ask_routing(&mut self) {
+    async fn ask_routing(&mut self) -> Option<Event> {
         let listed = self.platform.list(Kind::Configuration, true).await;
-        let Ok(snapshot) = listed else { return };
+        let snapshot = listed.ok()?;
+        let mut layout = None;
         for object in &snapshot.objects {
             let routing = match self.platform.routing(&object.body) {
                 Ok(routing) => routing,
@@ -290,13 +296,13 @@
             self.facts.model = engine.models.first().cloned();
             let chunk_count = engine.chunk_count;
             let may_cut = routing.is_resumable(&service.name);
-            let layout = Event::Layout {
+            layout = Some(Event::Layout {
                 chunk_count,
                 may_cut,
                 origin_connections: routing.origin_connections(),
-            };
-            self.take(layout).await;
+            });
         }
+        layout
     }
 
     async fn ask_versions(&mut self) {
