--- a/crates/raildale-core/tests/swarm_runs.rs
+++ b/crates/raildale-core/tests/swarm_runs.rs
@@ -243,7 +243,7 @@
         }
         match source {
             Source::Origin => {
-                let event = self.from_origin(version, item);
+                let event = self.answer_of_origin(version, item);
                 self.push(2 * WAY_MS + CHUNK_MS, agent, event);
             }
             Source::Peer(peer) => {
@@ -258,7 +258,7 @@
         }
     }
 
-    fn from_origin(&mut self, version: u64, item: Item) -> Event {
+    fn answer_of_origin(&mut self, version: u64, item: Item) -> Event {
         let source = Source::Origin;
         match item {
             Item::Manifest => Event::Manifest {
