An address that belongs to another start is left out for a while

Cause: after a loss of power the list holds the old starts for seconds; both attempts of a request ended at such addresses and it was refused.

--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -416,7 +416,9 @@
         self.targets.note_ended(now_ms, target, outcome);
         match outcome {
             Outcome::Whole | Outcome::Withdrawn => false,
-            Outcome::Refused | Outcome::Unreachable => true,
+            Outcome::Refused | Outcome::Misdirected | Outcome::Unreachable => {
+                true
+            }
             Outcome::Broken => {
                 request.may_have_run = true;
                 request.route.may_repeat()
--- a/crates/raildale-core/src/gateway/target.rs
+++ b/crates/raildale-core/src/gateway/target.rs
@@ -54,6 +54,8 @@
     Whole,
     /// Refused by the target without running.
     Refused,
+    /// Refused because another target, or another start of it, is there.
+    Misdirected,
     /// Nothing was sent: no connection.
     Unreachable,
     /// The answer broke off, was garbled or never came.
@@ -71,6 +73,7 @@
     pub in_flight: u32,
     report: Option<(u64, TargetReport, u32)>,
     failures: FailureRate,
+    misdirected_ms: Option<u64>,
     /// Set while the list lost the target during an outage of the store.
     pub lapsed_at_ms: Option<u64>,
 }
@@ -82,6 +85,10 @@
 /// suspect: agents report several times a second.
 const REPORT_SILENT_MS: u64 = 900;
 
+/// How long a target is left out after its address turned out to belong to
+/// another start: its entry lags behind by about that, in milliseconds.
+const MISDIRECTED_MS: u64 = 1_500;
+
 /// Time between two reports, a lost one allowed for, in milliseconds.
 const REPORT_EVERY_MS: u64 = 250;
 
@@ -115,6 +122,7 @@
             in_flight: 0,
             report: None,
             failures: FailureRate::default(),
+            misdirected_ms: None,
             lapsed_at_ms: None,
         }
     }
@@ -128,6 +136,7 @@
     pub fn note_outcome(&mut self, now_ms: u64, outcome: Outcome) {
         match outcome {
             Outcome::Whole => self.failures.add(now_ms, 0.0),
+            Outcome::Misdirected => self.misdirected_ms = Some(now_ms),
             Outcome::Refused => self.failures.add(now_ms, 0.6),
             Outcome::Unreachable | Outcome::Broken => {
                 self.failures.add(now_ms, 1.0)
@@ -165,7 +174,10 @@
         let welcomes = self
             .report(now_ms)
             .is_none_or(|report| report.is_up && report.is_accepting);
-        welcomes && !self.spec.is_draining
+        let is_elsewhere = self.misdirected_ms.is_some_and(|at_ms| {
+            now_ms.saturating_sub(at_ms) < MISDIRECTED_MS
+        });
+        welcomes && !self.spec.is_draining && !is_elsewhere
     }
 
     /// Requests there, of everybody, as far as known.
--- a/crates/raildale-core/tests/gateway.rs
+++ b/crates/raildale-core/tests/gateway.rs
@@ -249,6 +249,7 @@
     repeatable_breaks = { "/x", Outcome::Broken, true },
     once_breaks = { "/once/", Outcome::Broken, false },
     once_is_refused = { "/once/", Outcome::Refused, true },
+    once_is_misdirected = { "/once/", Outcome::Misdirected, true },
     once_is_not_reached = { "/once/", Outcome::Unreachable, true },
     whole = { "/x", Outcome::Whole, false },
 )]
@@ -263,6 +264,20 @@
     assert_eq!(may, again);
 }
 
+#[test]
+fn an_address_that_changed_hands_is_left_out_for_a_while() {
+    let mut gateway = gateway();
+    gateway.targets.put(target("t", "plain", 1, None));
+    let mut request = admit(&mut gateway, "/x");
+    gateway.ended(START_MS, &mut request, "t", Outcome::Misdirected);
+    let mut other = admit(&mut gateway, "/x");
+    let next = gateway.next(START_MS, &mut other, START_MS, 0);
+    assert_eq!(sent(next), None, "no second attempt is wasted there");
+    let later_ms = START_MS + 1_600;
+    let next = gateway.next(later_ms, &mut other, later_ms, 0);
+    assert!(sent(next).is_some());
+}
+
 #[test]
 fn what_may_have_run_is_never_called_not_run() {
     let mut gateway = gateway();
--- a/crates/raildale/src/fleet/edge.rs
+++ b/crates/raildale/src/fleet/edge.rs
@@ -91,6 +91,8 @@
     pub is_sealed: bool,
     /// Whether the target says that it did not run the request.
     pub is_not_run: bool,
+    /// Whether another target, or another start of it, has the address.
+    pub is_misdirected: bool,
     /// Whether it is a stream of events.
     pub is_event_stream: bool,
     /// Whether its body is encoded on the way, which targets never do.
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -98,9 +98,11 @@
     pub fn end(&mut self, request: &mut Admission, outcome: Outcome) -> bool {
         self.is_over = true;
         let connection = self.connection.take();
-        if let (Outcome::Whole | Outcome::Refused, Some(kept)) =
-            (outcome, connection)
-        {
+        let is_sound = matches!(
+            outcome,
+            Outcome::Whole | Outcome::Refused | Outcome::Misdirected
+        );
+        if let (true, Some(kept)) = (is_sound, connection) {
             kept.keep();
         }
         let mut gateway = self.host.gateway.borrow_mut();
@@ -385,6 +387,9 @@
         if !head.is_own || head.is_encoded {
             return Some(Outcome::Broken);
         }
+        if head.is_misdirected {
+            return Some(Outcome::Misdirected);
+        }
         if head.is_not_run {
             return Some(Outcome::Refused);
         }
