--- a/crates/raildale-core/src/swarm/reducer.rs
+++ b/crates/raildale-core/src/swarm/reducer.rs
@@ -342,7 +342,7 @@
                 );
             }
             Event::StagingRead { version, chunks } => {
-                self.staging_read(version, chunks, effects);
+                self.staging_read(now_ms, version, chunks, effects);
             }
             Event::Target(state) => self.target_told(now_ms, state, effects),
             Event::Staged { version, is_done } => {
@@ -439,7 +439,7 @@
             held.origin_mismatches = 0;
             self.hand_out(version, index, effects);
             if !was_whole {
-                self.note_whole(version, effects);
+                self.note_whole(now_ms, version, effects);
             }
             return;
         }
@@ -479,8 +479,15 @@
         }
     }
 
-    fn note_whole(&self, version: u64, effects: &mut Vec<Effect>) {
-        if self.versions.get(&version).is_some_and(Version::is_whole) {
+    fn note_whole(
+        &mut self,
+        now_ms: u64,
+        version: u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(held) = self.versions.get_mut(&version) else { return };
+        if held.is_whole() {
+            held.whole_ms.get_or_insert(now_ms);
             let detail = format!("version={version}");
             effects.push(Effect::Log(LogEvent::SpreadWhole, detail));
             effects.push(Effect::Report);
@@ -489,6 +496,7 @@
 
     fn staging_read(
         &mut self,
+        now_ms: u64,
         version: u64,
         chunks: Vec<(u32, Bytes)>,
         effects: &mut Vec<Effect>,
@@ -506,7 +514,7 @@
             self.hand_out(version, index, effects);
         }
         if !was_whole {
-            self.note_whole(version, effects);
+            self.note_whole(now_ms, version, effects);
         }
     }
 
@@ -824,10 +832,12 @@
     /// When this target's turn for the oldest outstanding version comes.
     fn turn_ms(&self, served: u64, coming: u64) -> u64 {
         let (rank, count) = self.sources.rank();
+        let held = self.versions.get(&coming);
+        let whole_ms = held.and_then(|held| held.whole_ms).unwrap_or(0);
         self.named
             .range(served + 1..=coming)
             .map(|(_, named_ms)| {
-                self.config.swap.turn_ms(*named_ms, rank, count)
+                self.config.swap.turn_ms(*named_ms, whole_ms, rank, count)
             })
             .min()
             .unwrap_or(0)
--- a/crates/raildale-core/src/swarm/swap.rs
+++ b/crates/raildale-core/src/swarm/swap.rs
@@ -37,18 +37,29 @@
             bound_ms: 8_000,
             fill_ms: 2_400,
             drain_ms: 600,
-            margin_ms: 1_700,
+            margin_ms: 700,
         }
     }
 }
 
 impl SwapConfig {
-    /// When the agent at place `rank` of `count` begins.
-    pub fn turn_ms(&self, named_ms: u64, rank: usize, count: usize) -> u64 {
-        let busy_ms = self.fill_ms + self.drain_ms + self.margin_ms;
-        let span_ms = self.bound_ms.saturating_sub(busy_ms);
-        let offset_ms = span_ms * rank as u64 / count.max(1) as u64;
-        named_ms + self.fill_ms + offset_ms
+    /// When the agent at place `rank` of `count` begins, if it has held the
+    /// version since `whole_ms`.
+    ///
+    /// A version that came late everywhere still goes in turns, over what is
+    /// left of its bound: all at once would leave nobody to serve.
+    pub fn turn_ms(
+        &self,
+        named_ms: u64,
+        whole_ms: u64,
+        rank: usize,
+        count: usize,
+    ) -> u64 {
+        let begin_ms = whole_ms.max(named_ms + self.fill_ms);
+        let last_ms = (named_ms + self.bound_ms)
+            .saturating_sub(self.drain_ms + self.margin_ms);
+        let span_ms = last_ms.saturating_sub(begin_ms);
+        begin_ms + span_ms * rank as u64 / count.max(1) as u64
     }
 }
 
--- a/crates/raildale-core/src/swarm/version.rs
+++ b/crates/raildale-core/src/swarm/version.rs
@@ -59,6 +59,8 @@
     /// Chunks in a row that came straight from the origin and did not match;
     /// the manifest itself may be the spoilt one.
     pub origin_mismatches: u32,
+    /// Since when every chunk is held.
+    pub whole_ms: Option<u64>,
     /// Whether the target's staging was read for this version.
     pub is_staging_read: bool,
 }
@@ -74,6 +76,7 @@
             chunks: vec![None; chunk_count],
             held: 0,
             origin_mismatches: 0,
+            whole_ms: None,
             is_staging_read: false,
         }
     }
