--- a/crates/raildale-core/src/swarm/reducer.rs
+++ b/crates/raildale-core/src/swarm/reducer.rs
@@ -924,11 +924,16 @@
         room.from_origin -= 1;
     }
     let may_wait = !sources.holds(source, version);
-    let place = if may_wait { &mut room.waiting } else { &mut room.at_once };
-    if *place == 0 {
-        return;
+    if let Item::Chunk(_) = item {
+        // A manifest is small, and without it nothing else can begin: it
+        // never waits behind the chunks of another version.
+        let place =
+            if may_wait { &mut room.waiting } else { &mut room.at_once };
+        if *place == 0 {
+            return;
+        }
+        *place -= 1;
     }
-    *place -= 1;
     let patience_ms =
         if may_wait { WAITING_TIMEOUT_MS } else { FETCH_TIMEOUT_MS };
     let until_ms = now_ms + patience_ms;
--- a/crates/raildale-core/tests/swarm_runs.rs
+++ b/crates/raildale-core/tests/swarm_runs.rs
@@ -473,3 +473,20 @@
         });
     assert_eq!(orders, BTreeMap::from([(2, 2)]), "one order each");
 }
+
+#[test]
+fn a_manifest_does_not_wait_behind_the_chunks_of_another_version() {
+    let mut world = World::new(5, 12, 1, none());
+    world.run_for(1_000);
+    world.name(2);
+    world.run_for(200);
+    let mut effects = Vec::new();
+    let now_ms = world.now_ms;
+    let named = Event::Named { version: 3, named_ms: now_ms };
+    world.agents[0].swarm.reduce(now_ms, named, &mut effects);
+    let asks = effects.iter().any(|effect| {
+        let item = Item::Manifest;
+        matches!(effect, Effect::Fetch { version: 3, item: i, .. } if *i == item)
+    });
+    assert!(asks, "{effects:?}");
+}
