A version overtaken within 2.8 s is left out by all alike

Cause: agents decided by how much of the older version they held, so some fetched two versions on the same link and owners of chunks differed in what they were after.

--- a/crates/raildale-core/src/swarm/reducer.rs
+++ b/crates/raildale-core/src/swarm/reducer.rs
@@ -775,24 +775,31 @@
         }
     }
 
-    /// Versions to fetch, oldest first. One that was overtaken is finished
-    /// if most of it is here; else it is left out.
+    /// Versions to fetch, oldest first.
     fn needed_versions(&self, served: u64, wanted: u64) -> Vec<u64> {
         if served >= wanted {
             return Vec::new();
         }
-        let mostly_here = |number: &u64| {
-            self.versions
-                .get(number)
-                .is_some_and(|held| held.held() * 2 >= held.slots.len())
-        };
+        let older = self
+            .named
+            .range(served + 1..wanted)
+            .filter(|(number, named_ms)| {
+                !self.is_overtaken(**number, **named_ms)
+            })
+            .map(|(number, _)| *number);
+        older.chain(std::iter::once(wanted)).collect()
+    }
+
+    /// Whether a newer version was named so soon that it can be everywhere
+    /// within the older one's bound: the older one is then left out. All
+    /// agents decide that alike, from the times of naming alone. Else both
+    /// are fetched, the older one first.
+    fn is_overtaken(&self, number: u64, named_ms: u64) -> bool {
+        let swap = &self.config.swap;
+        let bound_ms = named_ms + swap.bound_ms;
         self.named
-            .keys()
-            .copied()
-            .filter(|number| *number > served && *number < wanted)
-            .filter(mostly_here)
-            .chain(std::iter::once(wanted))
-            .collect()
+            .range(number + 1..)
+            .any(|(_, newer_ms)| newer_ms + swap.renew_ms <= bound_ms)
     }
 
     fn swap(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
--- a/crates/raildale-core/src/swarm/swap.rs
+++ b/crates/raildale-core/src/swarm/swap.rs
@@ -27,6 +27,9 @@
     pub fill_ms: u64,
     /// How long running work may end by itself before it is cut.
     pub drain_ms: u64,
+    /// What a version needs from its naming until it is loaded everywhere: a
+    /// fill of 3.7 s and turns of 1.5 s.
+    pub renew_ms: u64,
     /// What is kept free before the bound.
     pub margin_ms: u64,
 }
@@ -37,6 +40,7 @@
             bound_ms: 8_000,
             fill_ms: 2_400,
             drain_ms: 600,
+            renew_ms: 5_200,
             margin_ms: 700,
         }
     }
