--- a/crates/raildale-core/src/gateway/target.rs
+++ b/crates/raildale-core/src/gateway/target.rs
@@ -74,6 +74,7 @@
     report: Option<(u64, TargetReport, u32)>,
     failures: FailureRate,
     misdirected_ms: Option<u64>,
+    is_agent_told_up: bool,
     /// Set while the list lost the target during an outage of the store.
     pub lapsed_at_ms: Option<u64>,
 }
@@ -127,6 +128,7 @@
             report: None,
             failures: FailureRate::default(),
             misdirected_ms: None,
+            is_agent_told_up: false,
             lapsed_at_ms: None,
         }
     }
@@ -149,6 +151,15 @@
         }
     }
 
+    /// Whether its agent came up or went silent since this was last asked;
+    /// then which of the two.
+    pub fn agent_change(&mut self, now_ms: u64) -> Option<bool> {
+        let is_up = self.report.is_some() && !self.is_silent(now_ms);
+        let is_news = is_up != self.is_agent_told_up;
+        self.is_agent_told_up = is_up;
+        is_news.then_some(is_up)
+    }
+
     /// The last report that is fresh enough to speak of load.
     pub fn report(&self, now_ms: u64) -> Option<&TargetReport> {
         let (at_ms, report, _) = self.report.as_ref()?;
--- a/crates/raildale-core/src/gateway/targets.rs
+++ b/crates/raildale-core/src/gateway/targets.rs
@@ -140,6 +140,17 @@
         is_known
     }
 
+    /// Targets whose agent came up (true) or went silent since this was last
+    /// asked.
+    pub fn agent_changes(&mut self, now_ms: u64) -> Vec<(Name, bool)> {
+        self.by_id
+            .iter_mut()
+            .filter_map(|(id, target)| {
+                Some((id.clone(), target.agent_change(now_ms)?))
+            })
+            .collect()
+    }
+
     /// Counts a request out to a target.
     pub fn note_sent(&mut self, id: &str) {
         if let Some(target) = self.by_id.get_mut(id) {
--- a/crates/raildale-core/tests/gateway.rs
+++ b/crates/raildale-core/tests/gateway.rs
@@ -391,3 +391,17 @@
     let later_ms = START_MS + 20_000;
     assert!(budget.try_repeat(later_ms, 5), "the window has moved on");
 }
+
+#[test]
+fn a_silent_agent_is_told_once() {
+    let mut gateway = gateway();
+    gateway.targets.put(target("t", "model", 1, Some(1)));
+    let address = SocketAddr::from(([10, 0, 0, 1], 80));
+    gateway.targets.note_report(START_MS, address, report(1));
+    let up = vec![(Name::from("t"), true)];
+    assert_eq!(gateway.targets.agent_changes(START_MS), up);
+    assert_eq!(gateway.targets.agent_changes(START_MS + 100), vec![]);
+    let down = vec![(Name::from("t"), false)];
+    assert_eq!(gateway.targets.agent_changes(START_MS + 2_000), down);
+    assert_eq!(gateway.targets.agent_changes(START_MS + 2_100), vec![]);
+}
