--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -4,7 +4,7 @@
 
 use super::{
     retry_budget::{RetryBound, RetryBudget},
-    routes::{NoRoute, Organisation, Route, Routing, Service},
+    routes::{NoRoute, Organisation, Route, RouteKind, Routing, Service},
     target::{Outcome, Target},
     targets::{Need, Targets, VersionBound},
     waiting::{RETRY_AFTER_LEAST_MS, Situation, Verdict, WaitingRoom},
@@ -68,6 +68,16 @@
     pub may_have_run: bool,
 }
 
+impl Admission {
+    /// Whether another target may be asked after one answered with a failure
+    /// of its own.
+    pub fn may_ask_another(&self) -> bool {
+        let tries = self.tried.len() as u32;
+        self.route.kind == RouteKind::Idempotent
+            && tries < self.route.max_attempts
+    }
+}
+
 /// Where to send a request next.
 #[derive(Clone, Debug)]
 pub struct Dispatch {
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -199,18 +199,24 @@
 
 impl<P: Dialect + Store + 'static> Exchange<P> {
     async fn run(mut self) -> Response<AnswerBody> {
+        // A target's own failure, in case no other target does better.
+        let mut failed = None;
         loop {
             let opened = match self.open(None).await {
                 Ok(opened) => opened,
-                Err(refusal) => return self.refuse(refusal),
+                Err(refusal) => {
+                    return failed.unwrap_or_else(|| self.refuse(refusal));
+                }
             };
-            let is_success = opened.response.status().is_success();
-            if opened.is_event_stream && is_success {
+            let status = opened.response.status();
+            if opened.is_event_stream && status.is_success() {
                 return stream_body::answer(self, opened);
             }
-            if let Some(response) = self.whole(opened).await {
+            let Some(response) = self.whole(opened).await else { continue };
+            if !status.is_server_error() || !self.request.may_ask_another() {
                 return response;
             }
+            failed = Some(response);
         }
     }
 
