--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -135,7 +135,7 @@
 
 /// What has not begun at an older version this long before its bound is
 /// withdrawn.
-const WITHDRAW_MARGIN_MS: u64 = 450;
+const WITHDRAW_MARGIN_MS: u64 = 700;
 
 /// Milliseconds between two looks for a target that has room.
 const LOOK_AGAIN_MS: u64 = 20;
--- a/crates/raildale-core/src/gateway/target.rs
+++ b/crates/raildale-core/src/gateway/target.rs
@@ -75,6 +75,7 @@
     failures: FailureRate,
     misdirected_ms: Option<u64>,
     is_agent_told_up: bool,
+    slow_until_ms: u64,
     /// Set while the list lost the target during an outage of the store.
     pub lapsed_at_ms: Option<u64>,
 }
@@ -109,6 +110,10 @@
 /// five times the longest between data centres leaves room for lost reports.
 const SLOW_WAY_MS: u64 = 250;
 
+/// A way that was slow counts as slow for this much longer, in milliseconds:
+/// on a squeezed link the queue comes and goes with each chunk.
+const SLOW_FOR_MS: u64 = 3_000;
+
 /// Milliseconds that a missing chunk takes, while all targets fill at once:
 /// 48 chunks come in about 3 s on the benches.
 const CHUNK_MS: u64 = 65;
@@ -129,12 +134,16 @@
             failures: FailureRate::default(),
             misdirected_ms: None,
             is_agent_told_up: false,
+            slow_until_ms: 0,
             lapsed_at_ms: None,
         }
     }
 
     /// Takes in what its agent tells.
     pub fn note_report(&mut self, now_ms: u64, report: TargetReport) {
+        if report.round_trip_ms > SLOW_WAY_MS {
+            self.slow_until_ms = now_ms + SLOW_FOR_MS;
+        }
         self.report = Some((now_ms, report, self.in_flight));
     }
 
@@ -233,7 +242,7 @@
 
     /// Whether the way to its machine is slow, or its agent is silent.
     pub fn is_slow(&self, now_ms: u64) -> bool {
-        self.round_trip_ms(now_ms) > SLOW_WAY_MS
+        now_ms < self.slow_until_ms || self.round_trip_ms(now_ms) > SLOW_WAY_MS
     }
 
     /// Milliseconds to its machine and back, as last measured. A report that
--- a/crates/raildale-core/src/gateway/targets.rs
+++ b/crates/raildale-core/src/gateway/targets.rs
@@ -49,7 +49,7 @@
 
 /// Nothing is sent to an older version this long before its bound: a request
 /// may wait in its target's queue before it starts.
-const SEND_MARGIN_MS: u64 = 1_000;
+const SEND_MARGIN_MS: u64 = 1_500;
 
 /// Requests beyond its slots that a target gets: what frees between two
 /// reports is used at once. Late requests leave as many slots free instead,
