Swarm: the reducer's file is split by its jobs

Now reducer/ has messages (events, effects and what they carry), arrivals (manifests and chunks that came), transfers (which start, from whom, for how long), questions (of other agents) and change_over (staging and the swap); mod.rs keeps the state and the dispatch. Long functions came apart: chunk_came and chunk_failed; fetch into a Starter that holds the room, the sources and the effects. The share of the origin's connections is a named constant, and the places of a version's slots are walked by one iterator. No behaviour changes.

--- /dev/null
+++ b/crates/raildale-core/src/swarm/reducer/arrivals.rs
@@ -0,0 +1,144 @@
+//! Manifests and chunks that came, or did not.
+
+use bytes::Bytes;
+
+use super::{
+    Content, Effect, FetchError, RETRY_PAUSE_MOST_MS, RETRY_PAUSE_MS, Swarm,
+};
+use crate::{
+    log_event::LogEvent,
+    swarm::{
+        digest::WeightDigest,
+        sources::{Source, TRIES_PER_SOURCE},
+        version::Version,
+    },
+};
+
+/// Mismatches straight from the origin after which the manifest is doubted.
+const DOUBT_MANIFEST: u32 = 3;
+
+impl Swarm {
+    pub(super) fn manifest_came(
+        &mut self,
+        now_ms: u64,
+        version: u64,
+        source: Source,
+        result: Result<Vec<WeightDigest>, FetchError>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let count = self.chunk_count;
+        let Some(held) = self.versions.get_mut(&version) else { return };
+        let slot = &mut held.manifest;
+        slot.fetch = None;
+        let sound = result.ok().filter(|digests| digests.len() == count);
+        let Some(digests) = sound else {
+            slot.failures += 1;
+            slot.not_before_ms = now_ms + pause_ms(slot.failures);
+            if source == Source::Origin {
+                let detail = format!("version={version} item=manifest");
+                effects.push(Effect::Log(LogEvent::OriginFailed, detail));
+            }
+            return;
+        };
+        slot.failures = 0;
+        for waiter in slot.waiters.drain(..) {
+            let content = Content::Manifest(digests.clone());
+            effects.push(Effect::Answer { ticket: waiter.ticket, content });
+        }
+        held.digests = Some(digests);
+        if self.target.serves_version == version && !held.is_staging_read {
+            held.is_staging_read = true;
+            effects.push(Effect::ReadStaging { version });
+        }
+    }
+
+    /// Adapts the window to how long a transfer took. The origin's own link
+    /// is shared by all agents: how long it takes says nothing of the link
+    /// here.
+    pub(super) fn note_pace(
+        &mut self,
+        source: Source,
+        result: &Result<Bytes, FetchError>,
+        took_ms: u64,
+    ) {
+        if source != Source::Origin && result.is_ok() {
+            self.window.note(took_ms);
+        }
+    }
+
+    pub(super) fn chunk_came(
+        &mut self,
+        now_ms: u64,
+        version: u64,
+        index: u32,
+        source: Source,
+        result: Result<Bytes, FetchError>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(held) = self.versions.get_mut(&version) else { return };
+        let place = index as usize;
+        let Some(slot) = held.slots.get_mut(place) else { return };
+        slot.fetch = None;
+        let was_whole = held.is_whole();
+        let error = result.as_ref().err().copied();
+        let is_kept = result.is_ok_and(|data| held.keep(place, data));
+        if !is_kept {
+            self.chunk_failed(now_ms, version, index, source, error, effects);
+            return;
+        }
+        held.slots[place].failures = 0;
+        held.origin_mismatches = 0;
+        self.hand_out(version, index, effects);
+        if !was_whole {
+            self.note_whole(version, effects);
+        }
+    }
+
+    /// Notes that a chunk did not come or, without an `error`, that what came
+    /// does not match its digest.
+    fn chunk_failed(
+        &mut self,
+        now_ms: u64,
+        version: u64,
+        index: u32,
+        source: Source,
+        error: Option<FetchError>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(held) = self.versions.get_mut(&version) else { return };
+        let Some(slot) = held.slots.get_mut(index as usize) else { return };
+        slot.failures += match error {
+            Some(FetchError::Lost) => TRIES_PER_SOURCE,
+            Some(FetchError::Absent) | None => 1,
+        };
+        slot.not_before_ms = now_ms + pause_ms(slot.failures);
+        if error.is_none() {
+            let detail =
+                format!("version={version} chunk={index} from={source:?}");
+            effects.push(Effect::Log(LogEvent::ChunkCorrupt, detail));
+            if source == Source::Origin {
+                held.origin_mismatches += 1;
+            }
+        }
+        if held.origin_mismatches >= DOUBT_MANIFEST && held.held() == 0 {
+            held.digests = None;
+            held.origin_mismatches = 0;
+            // Whoever gave it is not the first to be asked again.
+            held.manifest.failures = TRIES_PER_SOURCE;
+            let detail = format!("version={version}");
+            effects.push(Effect::Log(LogEvent::ManifestMismatch, detail));
+        }
+    }
+
+    pub(super) fn note_whole(&self, version: u64, effects: &mut Vec<Effect>) {
+        if self.versions.get(&version).is_some_and(Version::is_whole) {
+            let detail = format!("version={version}");
+            effects.push(Effect::Log(LogEvent::SpreadWhole, detail));
+            effects.push(Effect::Report);
+        }
+    }
+}
+
+fn pause_ms(failures: u32) -> u64 {
+    (RETRY_PAUSE_MS << failures.min(4)).min(RETRY_PAUSE_MOST_MS)
+}
--- /dev/null
+++ b/crates/raildale-core/src/swarm/reducer/messages.rs
@@ -0,0 +1,188 @@
+//! What goes into the reducer and comes out of it.
+
+use bytes::Bytes;
+
+use crate::{
+    log_event::LogEvent,
+    swarm::{
+        digest::WeightDigest,
+        sources::{Peer, Source},
+        swap::LoadMethod,
+    },
+};
+
+/// Names a question that another agent has asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// What can be asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Item {
+    /// The digests of a version's chunks.
+    Manifest,
+    /// A chunk.
+    Chunk(u32),
+}
+
+/// Why a transfer came to nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FetchError {
+    /// The source does not hold it.
+    Absent,
+    /// No connection, no answer, or one that broke off.
+    Lost,
+}
+
+/// What the target tells its agent.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct TargetState {
+    /// Whether it answers.
+    pub is_up: bool,
+    /// The version that it serves whole; 0 if none.
+    pub serves_version: u64,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait in it.
+    pub queued: u32,
+    /// How slow it is, 1 being its published pace.
+    pub pace: f64,
+}
+
+/// What happens to an agent.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Weights of the service are spread in this many chunks.
+    Layout {
+        /// Chunks of a version.
+        chunk_count: u32,
+        /// Whether what runs may be cut and go on elsewhere.
+        may_cut: bool,
+        /// Connections that the origin accepts from all agents together.
+        origin_connections: u32,
+    },
+    /// A version was named.
+    Named {
+        /// Its number.
+        version: u64,
+        /// When, on this process's clock.
+        named_ms: u64,
+    },
+    /// The list of live agents.
+    Peers(Vec<Peer>),
+    /// A manifest came, or did not.
+    Manifest {
+        /// The version.
+        version: u64,
+        /// Who was asked.
+        source: Source,
+        /// The chunks' digests.
+        result: Result<Vec<WeightDigest>, FetchError>,
+    },
+    /// A chunk came, or did not.
+    Chunk {
+        /// The version.
+        version: u64,
+        /// The chunk's place.
+        index: u32,
+        /// Who was asked.
+        source: Source,
+        /// Its bytes, unchecked.
+        result: Result<Bytes, FetchError>,
+        /// Milliseconds from the question to the last byte, without the time
+        /// that whoever was asked had to wait for it.
+        took_ms: u64,
+    },
+    /// What lay in the target's staging at the start.
+    StagingRead {
+        /// The version that it is thought to be.
+        version: u64,
+        /// The chunks found, unchecked.
+        chunks: Vec<(u32, Bytes)>,
+    },
+    /// The target told of itself.
+    Target(TargetState),
+    /// Staging has ended.
+    Staged {
+        /// The version.
+        version: u64,
+        /// Whether every chunk lies there.
+        is_done: bool,
+    },
+    /// The target took the order, or did not.
+    Ordered {
+        /// The version.
+        version: u64,
+        /// Whether it began or was done before.
+        is_taken: bool,
+    },
+    /// Another agent asks for an item.
+    Asked {
+        /// Names the question.
+        ticket: Ticket,
+        /// The version.
+        version: u64,
+        /// What is asked for.
+        item: Item,
+        /// Agents that the question has passed.
+        hops: u32,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// What the shell is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Ask for an item.
+    Fetch {
+        /// The version.
+        version: u64,
+        /// What is asked for.
+        item: Item,
+        /// Whom to ask.
+        source: Source,
+        /// Agents that the question has passed.
+        hops: u32,
+    },
+    /// Answer a question.
+    Answer {
+        /// Names the question.
+        ticket: Ticket,
+        /// The item.
+        content: Content,
+    },
+    /// Read what lies in the target's staging.
+    ReadStaging {
+        /// The version that it is thought to be.
+        version: u64,
+    },
+    /// Put all chunks into the target's staging.
+    Stage {
+        /// The version.
+        version: u64,
+        /// Its chunks, in order.
+        chunks: Vec<Bytes>,
+    },
+    /// Order the target to load what lies staged.
+    Order {
+        /// The version.
+        version: u64,
+        /// What becomes of what runs.
+        method: LoadMethod,
+    },
+    /// Tell the entry hosts now, not at the next regular time.
+    Report,
+    /// Write a log line.
+    Log(LogEvent, String),
+}
+
+/// The answer to a question.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Content {
+    /// The chunks' digests.
+    Manifest(Vec<WeightDigest>),
+    /// A chunk's bytes.
+    Chunk(Bytes),
+    /// It is not to be had here.
+    Absent,
+}
--- /dev/null
+++ b/crates/raildale-core/src/swarm/reducer/mod.rs
@@ -0,0 +1,215 @@
+//! The agent's reducer: events in, effects out.
+//!
+//! * [`messages`]: the events, the effects and what they carry.
+//! * `arrivals`: manifests and chunks that came, or did not.
+//! * `transfers`: which transfers start, from whom, and for how long.
+//! * `questions`: what other agents ask for.
+//! * `change_over`: staging, and the target's change-over.
+
+use std::{collections::BTreeMap, net::IpAddr};
+
+use super::{
+    sources::Sources,
+    swap::{SwapConfig, SwapPhase},
+    version::Version,
+    window::Window,
+};
+use crate::{Name, gateway::TargetReport, log_event::LogEvent};
+
+mod arrivals;
+mod change_over;
+pub mod messages;
+mod questions;
+mod transfers;
+
+pub use self::messages::{
+    Content, Effect, Event, FetchError, Item, TargetState, Ticket,
+};
+
+/// What an agent is told at its start.
+#[derive(Clone, Debug)]
+pub struct SwarmConfig {
+    /// Its own address.
+    pub ip: IpAddr,
+    /// The data centre that it stands in.
+    pub data_centre: Name,
+    /// Transfers at once.
+    pub parallel: usize,
+    /// Times of a change-over.
+    pub swap: SwapConfig,
+}
+
+/// The state of an agent.
+#[derive(Debug)]
+pub struct Swarm {
+    config: SwarmConfig,
+    sources: Sources,
+    chunk_count: usize,
+    may_cut: bool,
+    origin_connections: usize,
+    window: Window,
+    /// When each version was named, by its number.
+    named: BTreeMap<u64, u64>,
+    /// What is held of each version, by its number.
+    versions: BTreeMap<u64, Version>,
+    target: TargetState,
+    phase: SwapPhase,
+    /// No change-over begins before this.
+    not_before_ms: u64,
+    /// When the progress of a version was last logged.
+    progress_told_ms: u64,
+}
+
+/// Pause before something that failed is tried again, in milliseconds.
+const RETRY_PAUSE_MS: u64 = 30;
+
+/// Longest pause before something that failed is tried again, in
+/// milliseconds.
+const RETRY_PAUSE_MOST_MS: u64 = 800;
+
+impl Swarm {
+    /// An agent that knows nothing yet.
+    pub fn new(config: SwarmConfig) -> Swarm {
+        let sources = Sources::new(config.ip, config.data_centre.clone());
+        let parallel = config.parallel;
+        Swarm {
+            config,
+            sources,
+            chunk_count: 0,
+            may_cut: false,
+            origin_connections: 0,
+            window: Window::new(parallel),
+            named: BTreeMap::new(),
+            versions: BTreeMap::new(),
+            target: TargetState::default(),
+            phase: SwapPhase::Idle,
+            not_before_ms: 0,
+            progress_told_ms: 0,
+        }
+    }
+
+    /// What the entry hosts are told.
+    pub fn report(&self) -> TargetReport {
+        let whole = self.versions.values().rev().find(|v| v.is_whole());
+        TargetReport {
+            is_up: self.target.is_up,
+            is_accepting: self.phase == SwapPhase::Idle,
+            serves_version: self.target.serves_version,
+            whole_version: whole.map_or(0, |version| version.number),
+            running: self.target.running,
+            queued: self.target.queued,
+            pace: self.target.pace,
+            missing_chunks: self.missing_chunks(),
+            round_trip_ms: 0,
+        }
+    }
+
+    /// Chunks that are missing before the target can load what is wanted.
+    fn missing_chunks(&self) -> u32 {
+        let wanted = self.wanted();
+        if self.target.serves_version >= wanted {
+            return 0;
+        }
+        let held = self.versions.get(&wanted).map_or(0, Version::held);
+        self.chunk_count.saturating_sub(held) as u32
+    }
+
+    /// Whether nothing is under way.
+    pub fn is_calm(&self) -> bool {
+        self.target.serves_version >= self.wanted()
+            && self.phase == SwapPhase::Idle
+    }
+
+    /// Takes an event in; what is to be done is pushed to `effects`.
+    pub fn reduce(
+        &mut self,
+        now_ms: u64,
+        event: Event,
+        effects: &mut Vec<Effect>,
+    ) {
+        match event {
+            Event::Layout { chunk_count, may_cut, origin_connections } => {
+                self.chunk_count = chunk_count as usize;
+                self.may_cut = may_cut;
+                self.origin_connections = origin_connections as usize;
+            }
+            Event::Named { version, named_ms } => {
+                self.named(version, named_ms, effects);
+            }
+            Event::Peers(peers) => self.sources.set_peers(peers),
+            Event::Manifest { version, source, result } => {
+                self.manifest_came(now_ms, version, source, result, effects);
+            }
+            Event::Chunk { version, index, source, result, took_ms } => {
+                self.note_pace(source, &result, took_ms);
+                self.chunk_came(
+                    now_ms, version, index, source, result, effects,
+                );
+            }
+            Event::StagingRead { version, chunks } => {
+                self.staging_read(version, chunks, effects);
+            }
+            Event::Target(state) => self.target_told(now_ms, state, effects),
+            Event::Staged { version, is_done } => {
+                self.staged(now_ms, version, is_done);
+            }
+            Event::Ordered { version, is_taken } => {
+                self.ordered(now_ms, version, is_taken, effects);
+            }
+            Event::Asked { ticket, version, item, hops } => {
+                self.asked(now_ms, ticket, version, item, hops, effects);
+            }
+            Event::Tick => {
+                self.expire_waiters(now_ms, effects);
+                self.expire_transfers(now_ms);
+                self.forget_old();
+                self.tell_progress(now_ms, effects);
+            }
+        }
+        self.go_on(now_ms, effects);
+    }
+
+    /// The version that the target should serve.
+    fn wanted(&self) -> u64 {
+        const FIRST_VERSION: u64 = 1;
+        self.named.keys().next_back().copied().unwrap_or(FIRST_VERSION)
+    }
+
+    fn named(
+        &mut self,
+        version: u64,
+        named_ms: u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        if let Some(known_ms) = self.named.get_mut(&version) {
+            *known_ms = named_ms.min(*known_ms);
+            return;
+        }
+        self.named.insert(version, named_ms);
+        let detail = format!("version={version} named_at_ms={named_ms}");
+        effects.push(Effect::Log(LogEvent::SpreadJoined, detail));
+    }
+
+    fn open(&mut self, version: u64) -> &mut Version {
+        let count = self.chunk_count;
+        self.versions
+            .entry(version)
+            .or_insert_with(|| Version::new(version, count))
+    }
+
+    /// Drops versions older than the one served; nobody else needs them once
+    /// a newer one is served here, since all targets go the same way.
+    fn forget_old(&mut self) {
+        let served = self.target.serves_version;
+        self.versions.retain(|number, _| *number >= served);
+    }
+
+    fn go_on(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
+        if self.chunk_count == 0 {
+            return;
+        }
+        self.read_own_staging(effects);
+        self.fetch(now_ms, effects);
+        self.swap(now_ms, effects);
+    }
+}
--- /dev/null
+++ b/crates/raildale-core/src/swarm/reducer/transfers.rs
@@ -0,0 +1,253 @@
+//! Which transfers start, from whom, and when one is given up.
+
+use super::{Effect, Item, Swarm};
+use crate::{
+    log_event::LogEvent,
+    swarm::{
+        sources::{Source, Sources, TRIES_PER_SOURCE},
+        version::{Fetch, Version},
+    },
+};
+
+/// A chunk from an agent that holds it, and has not come by then, is asked
+/// for elsewhere, in milliseconds: six chunks at once take 250 ms at 9.4
+/// Mbit/s, and the sender may serve several.
+const FETCH_TIMEOUT_MS: u64 = 1_200;
+
+/// The same for one that its source may have to fetch first: the origin
+/// gives a whole version of 48 chunks in 1.3 s to all together.
+const WAITING_TIMEOUT_MS: u64 = 1_400;
+
+/// Transfers from the origin at once, however many connections it accepts.
+const ORIGIN_PARALLEL_MOST: usize = 4;
+
+/// The share of the origin's connections that agents use: those of machines
+/// that lost power count against its bound for a while. No measurement of the
+/// figure is on record.
+const ORIGIN_SHARE_PERCENT: usize = 75;
+
+/// Transfers at once from sources that may have to wait themselves: these
+/// take no room on the link until they are answered.
+const WAITING_MOST: usize = 10;
+
+/// Time between two lines on the progress of a version, in milliseconds.
+const PROGRESS_EVERY_MS: u64 = 1_000;
+
+impl Swarm {
+    /// Starts transfers: what others wait for first, then what the target
+    /// lacks, an older version before a newer one that overtook it.
+    pub(super) fn fetch(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
+        let served = self.target.serves_version;
+        let needed = self.needed_versions(served, self.wanted());
+        for version in &needed {
+            self.open(*version);
+        }
+        let (rank, count) = self.sources.rank();
+        let room = self.room(count);
+        let sources = &self.sources;
+        let mut starter = Starter { now_ms, sources, room, effects };
+        for (number, held) in &mut self.versions {
+            let is_needed = needed.contains(number);
+            if held.digests.is_some() {
+                // Agents begin at different chunks, so that each soon holds
+                // some that others lack.
+                let first = rank * held.slots.len() / count;
+                starter.start_chunks(held, first, is_needed);
+            } else if is_needed
+                || !held.manifest.waiters.is_empty()
+                || *number == served
+            {
+                starter.start(held, Item::Manifest);
+            }
+        }
+    }
+
+    /// Transfers that may still start, among `agents`.
+    fn room(&self, agents: usize) -> Room {
+        let busy = |may_wait: bool| -> usize {
+            self.versions.values().map(|held| held.fetches(may_wait)).sum()
+        };
+        let from_origin: usize =
+            self.versions.values().map(Version::fetches_from_origin).sum();
+        let usable = self.origin_connections * ORIGIN_SHARE_PERCENT / 100;
+        let most = (usable / agents.max(1)).clamp(1, ORIGIN_PARALLEL_MOST);
+        Room {
+            at_once: self.window.size().saturating_sub(busy(false)),
+            waiting: self
+                .window
+                .share(WAITING_MOST)
+                .saturating_sub(busy(true)),
+            from_origin: most.saturating_sub(from_origin),
+        }
+    }
+
+    /// Versions to fetch, oldest first. One that was overtaken is finished
+    /// if most of it is here; else it is left out.
+    fn needed_versions(&self, served: u64, wanted: u64) -> Vec<u64> {
+        if served >= wanted {
+            return Vec::new();
+        }
+        let mostly_here = |number: &u64| {
+            self.versions
+                .get(number)
+                .is_some_and(|held| held.held() * 2 >= held.slots.len())
+        };
+        self.named
+            .keys()
+            .copied()
+            .filter(|number| *number > served && *number < wanted)
+            .filter(mostly_here)
+            .chain(std::iter::once(wanted))
+            .collect()
+    }
+
+    /// Gives transfers up that have taken too long.
+    pub(super) fn expire_transfers(&mut self, now_ms: u64) {
+        for slot in self.versions.values_mut().flat_map(Version::slots_mut) {
+            if slot.fetch.is_some_and(|fetch| fetch.until_ms <= now_ms) {
+                slot.fetch = None;
+                slot.failures += 1;
+            }
+        }
+    }
+
+    /// Writes one line a second while the target lacks what it should serve.
+    pub(super) fn tell_progress(
+        &mut self,
+        now_ms: u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        let wanted = self.wanted();
+        let is_due = now_ms >= self.progress_told_ms + PROGRESS_EVERY_MS;
+        let Some(held) = self.versions.get(&wanted) else { return };
+        if !is_due || held.is_whole() || self.target.serves_version >= wanted {
+            return;
+        }
+        self.progress_told_ms = now_ms;
+        let failures: u32 = held.slots.iter().map(|slot| slot.failures).sum();
+        let waiters: usize =
+            held.slots.iter().map(|slot| slot.waiters.len()).sum();
+        let detail = format!(
+            "version={wanted} manifest={} held={} of={} fetching={} \
+             from_origin={} failures={failures} waiters={waiters} window={}",
+            held.digests.is_some(),
+            held.held(),
+            held.slots.len(),
+            held.fetches(true) + held.fetches(false),
+            held.fetches_from_origin(),
+            self.window.size(),
+        );
+        effects.push(Effect::Log(LogEvent::SpreadProgress, detail));
+    }
+}
+
+/// Transfers that may still start.
+#[derive(Clone, Copy, Debug)]
+struct Room {
+    /// From agents that hold the whole version.
+    at_once: usize,
+    /// From sources that may have to wait for it first.
+    waiting: usize,
+    /// From the origin.
+    from_origin: usize,
+}
+
+impl Room {
+    fn is_full(self) -> bool {
+        self.at_once == 0 && self.waiting == 0
+    }
+}
+
+/// Starts transfers while there is room for them.
+#[derive(Debug)]
+struct Starter<'a> {
+    now_ms: u64,
+    sources: &'a Sources,
+    room: Room,
+    effects: &'a mut Vec<Effect>,
+}
+
+impl Starter<'_> {
+    /// Asks for missing chunks from place `first` on and round: those that
+    /// others wait for and then, if the target needs the version, the rest.
+    fn start_chunks(
+        &mut self,
+        held: &mut Version,
+        first: usize,
+        is_needed: bool,
+    ) {
+        let count = held.slots.len();
+        for is_awaited in [true, false] {
+            for step in 0..count {
+                let index = (first + step) % count;
+                let slot = &held.slots[index];
+                let awaited = !slot.waiters.is_empty();
+                let is_due = awaited == is_awaited && (awaited || is_needed);
+                let is_open =
+                    held.chunk(index).is_none() && slot.fetch.is_none();
+                if is_due && is_open && !self.room.is_full() {
+                    self.start(held, Item::Chunk(index as u32));
+                }
+            }
+        }
+    }
+
+    /// Asks for an item unless that is under way, has to wait or has no
+    /// room.
+    fn start(&mut self, held: &mut Version, item: Item) {
+        let version = held.number;
+        let Some(slot) = held.slot_mut(item) else { return };
+        if slot.fetch.is_some() || self.now_ms < slot.not_before_ms {
+            return;
+        }
+        let hops = slot.waiters.iter().map(|w| w.hops + 1).max().unwrap_or(0);
+        let source = self.pick(version, item, slot.failures, hops);
+        let may_wait = !self.sources.holds(source, version);
+        if !self.take_room(source, may_wait) {
+            return;
+        }
+        let patience_ms = match may_wait {
+            true => WAITING_TIMEOUT_MS,
+            false => FETCH_TIMEOUT_MS,
+        };
+        let until_ms = self.now_ms + patience_ms;
+        slot.fetch = Some(Fetch { source, until_ms, may_wait });
+        self.effects.push(Effect::Fetch { version, item, source, hops });
+    }
+
+    /// Whom to ask, given the room that is left at the origin.
+    fn pick(
+        &self,
+        version: u64,
+        item: Item,
+        failures: u32,
+        hops: u32,
+    ) -> Source {
+        let source = self.sources.pick(version, item, failures, hops);
+        if source == Source::Origin && self.room.from_origin == 0 {
+            // A try that only goes astray to the origin need not wait for it.
+            let failures = failures + TRIES_PER_SOURCE;
+            return self.sources.pick(version, item, failures, hops);
+        }
+        source
+    }
+
+    /// Takes the room of one transfer; says whether there was any.
+    fn take_room(&mut self, source: Source, may_wait: bool) -> bool {
+        if source == Source::Origin {
+            if self.room.from_origin == 0 {
+                return false;
+            }
+            self.room.from_origin -= 1;
+        }
+        let place = match may_wait {
+            true => &mut self.room.waiting,
+            false => &mut self.room.at_once,
+        };
+        if *place == 0 {
+            return false;
+        }
+        *place -= 1;
+        true
+    }
+}
--- a/crates/raildale-core/src/swarm/version.rs
+++ b/crates/raildale-core/src/swarm/version.rs
@@ -123,6 +123,11 @@
         }
     }
 
+    /// The manifest's slot and those of the chunks, in order.
+    pub fn slots_mut(&mut self) -> impl Iterator<Item = &mut Slot> {
+        std::iter::once(&mut self.manifest).chain(&mut self.slots)
+    }
+
     /// Transfers of chunks under way, those that may have to wait at their
     /// source or the others.
     pub fn fetches(&self, may_wait: bool) -> usize {
