Swarm: the beginning of a swap is logged as event 420

SwapBegun was defined and listed in docs/EVENTS.md, yet nobody emitted it. The reducer now pushes it where a target stops taking new requests, with the version to come and the one served. Everything else stays as it was.

--- a/crates/raildale-core/src/swarm/reducer/change_over.rs
+++ b/crates/raildale-core/src/swarm/reducer/change_over.rs
@@ -147,6 +147,8 @@
             since_ms: now_ms,
             staged_ms: None,
         };
+        let detail = format!("version={coming} serves={served}");
+        effects.push(Effect::Log(LogEvent::SwapBegun, detail));
         effects.push(Effect::Report);
         self.stage(coming, effects);
     }
