Fleet: one accept loop, one receiver of datagrams, one codec of digests

The last two now also pause for 20 ms after a failed accept, as callers' ports did; tune is private to frames. - frames::NoteReceiver serves agents and entry hosts; malformed datagrams leave a debug line instead of nothing. - frames::encode_body replaces encoding a length and cutting it off again. - WeightDigest::encode_all and decode_all stand side by side in the core. - Event::lost is the one way to say that a transfer broke off. Ends of connections and refused frames are logged where they were swallowed. An open question is a struct, no longer a triple. Messages on the wire stay the same.

--- a/crates/raildale-core/src/swarm/digest.rs
+++ b/crates/raildale-core/src/swarm/digest.rs
@@ -1,10 +1,14 @@
 //! SHA-256 digests, which the origin publishes for each chunk.
 
+use bytes::{Bytes, BytesMut};
 use sha2::{Digest as _, Sha256};
 
+/// Bytes of a digest.
+const DIGEST_BYTES: usize = 32;
+
 /// The SHA-256 digest of a chunk.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct WeightDigest([u8; 32]);
+pub struct WeightDigest([u8; DIGEST_BYTES]);
 
 impl WeightDigest {
     /// The digest of `data`.
@@ -12,27 +16,35 @@
         WeightDigest(Sha256::digest(data).into())
     }
 
-    /// Reads a digest from a message's field; `None` if its length is off.
-    pub fn from_slice(bytes: &[u8]) -> Option<WeightDigest> {
-        bytes.try_into().ok().map(WeightDigest)
+    /// Encodes digests one after the other, as messages carry a manifest.
+    pub fn encode_all(digests: &[WeightDigest]) -> Bytes {
+        let mut bytes = BytesMut::with_capacity(digests.len() * DIGEST_BYTES);
+        for digest in digests {
+            bytes.extend_from_slice(&digest.0);
+        }
+        bytes.freeze()
+    }
+
+    /// Decodes what [`WeightDigest::encode_all`] encodes; `None` if the last
+    /// digest is cut short.
+    pub fn decode_all(bytes: &[u8]) -> Option<Vec<WeightDigest>> {
+        bytes
+            .chunks(DIGEST_BYTES)
+            .map(|digest| digest.try_into().ok().map(WeightDigest))
+            .collect()
     }
 
     /// Reads 64 hexadecimal digits.
     pub fn from_hex(text: &str) -> Option<WeightDigest> {
         let digits = text.as_bytes();
-        if digits.len() != 64 {
+        if digits.len() != 2 * DIGEST_BYTES {
             return None;
         }
-        let mut bytes = [0; 32];
+        let mut bytes = [0; DIGEST_BYTES];
         for (byte, pair) in bytes.iter_mut().zip(digits.chunks_exact(2)) {
             let pair = std::str::from_utf8(pair).ok()?;
             *byte = u8::from_str_radix(pair, 16).ok()?;
         }
         Some(WeightDigest(bytes))
     }
-
-    /// The raw bytes.
-    pub fn as_bytes(&self) -> &[u8; 32] {
-        &self.0
-    }
 }
--- a/crates/raildale-core/src/swarm/reducer/messages.rs
+++ b/crates/raildale-core/src/swarm/reducer/messages.rs
@@ -130,6 +130,22 @@
     Tick,
 }
 
+impl Event {
+    /// The transfer of an item that broke off, or did not begin.
+    pub fn lost(version: u64, item: Item, source: Source) -> Event {
+        match item {
+            Item::Manifest => {
+                let result = Err(FetchError::Lost);
+                Event::Manifest { version, source, result }
+            }
+            Item::Chunk(index) => {
+                let result = Err(FetchError::Lost);
+                Event::Chunk { version, index, source, result, took_ms: 0 }
+            }
+        }
+    }
+}
+
 /// What the shell is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
--- a/crates/raildale/src/fleet/agent/links.rs
+++ b/crates/raildale/src/fleet/agent/links.rs
@@ -18,12 +18,10 @@
 
 use crate::{
     codec,
+    error::Error,
     fleet::{frames, steady_clock::now_ms},
 };
 
-/// Bytes of a digest in a manifest.
-const DIGEST_BYTES: usize = 32;
-
 /// A question to send.
 #[derive(Clone, Copy, Debug)]
 pub struct Question {
@@ -37,7 +35,7 @@
     pub asked_ms: u64,
 }
 
-/// The connections.
+/// The connections to other agents.
 #[derive(Clone, Debug)]
 pub struct Links {
     port: u16,
@@ -68,6 +66,8 @@
     }
 }
 
+/// Serves one connection until it ends; questions without an answer by then
+/// are lost.
 async fn run(
     address: SocketAddr,
     mut questions: mpsc::UnboundedReceiver<Question>,
@@ -77,8 +77,12 @@
     match frames::connect(address).await {
         Ok(stream) => {
             let framed = Framed::new(stream, codec::splitter());
-            exchange(address, framed, &mut questions, &events, &mut asked)
-                .await;
+            let ended =
+                exchange(address, framed, &mut questions, &events, &mut asked)
+                    .await;
+            if let Err(error) = ended {
+                log::debug!("agent {address}: {error}");
+            }
         }
         Err(error) => log::debug!("agent {address}: {error}"),
     }
@@ -91,35 +95,34 @@
     }
 }
 
+/// Sends questions and takes answers until either side ends.
 async fn exchange(
     address: SocketAddr,
     mut framed: Framed<TcpStream, LengthDelimitedCodec>,
     questions: &mut mpsc::UnboundedReceiver<Question>,
     events: &mpsc::UnboundedSender<Event>,
     asked: &mut HashMap<u64, Question>,
-) {
+) -> Result<(), Error> {
     let mut next_number = 0;
     loop {
         tokio::select! {
             question = questions.recv() => {
-                let Some(question) = question else { return };
+                let Some(question) = question else { return Ok(()) };
                 next_number += 1;
                 asked.insert(next_number, question);
-                let frame = ask_frame(next_number, question);
-                if framed.send(frame).await.is_err() {
-                    return;
-                }
+                framed.send(ask_frame(next_number, question)).await?;
             }
             frame = framed.next() => {
-                let Some(Ok(frame)) = frame else { return };
+                let Some(frame) = frame else { return Ok(()) };
                 let Ok(FleetBody::GiveItem(give)) =
-                    frames::decode_frame(frame.freeze())
+                    frames::decode_frame(frame?.freeze())
                 else {
                     log::warn!("agent {address}: a frame out of place");
-                    return;
+                    return Ok(());
                 };
                 if let Some(question) = asked.remove(&give.question) {
                     let source = Source::Peer(address.ip());
+                    // The loop that takes events ends with the process only.
                     let _ = events.send(came(question, source, give));
                 }
             }
@@ -132,13 +135,12 @@
         Item::Manifest => None,
         Item::Chunk(index) => Some(index),
     };
-    let body = FleetBody::AskItem(AskItem {
+    frames::encode_body(FleetBody::AskItem(AskItem {
         question: number,
         version: question.version,
         chunk,
         hops: question.hops,
-    });
-    frames::encode_frame(body).slice(codec::LENGTH_BYTES..)
+    }))
 }
 
 fn came(question: Question, source: Source, give: GiveItem) -> Event {
@@ -149,7 +151,7 @@
             source,
             result: give
                 .digests
-                .and_then(|bytes| digests(&bytes))
+                .and_then(|bytes| WeightDigest::decode_all(&bytes))
                 .ok_or(FetchError::Absent),
         },
         Item::Chunk(index) => Event::Chunk {
@@ -164,27 +166,13 @@
     }
 }
 
-fn digests(bytes: &[u8]) -> Option<Vec<WeightDigest>> {
-    bytes.chunks(DIGEST_BYTES).map(WeightDigest::from_slice).collect()
-}
-
 fn lose(
     address: SocketAddr,
     question: Question,
     events: &mpsc::UnboundedSender<Event>,
 ) {
     let source = Source::Peer(address.ip());
-    let version = question.version;
-    let error = FetchError::Lost;
-    let event = match question.item {
-        Item::Manifest => {
-            Event::Manifest { version, source, result: Err(error) }
-        }
-        Item::Chunk(index) => {
-            let result = Err(error);
-            Event::Chunk { version, index, source, result, took_ms: 0 }
-        }
-    };
+    let event = Event::lost(question.version, question.item, source);
     // The loop that takes events ends with the process only.
     let _ = events.send(event);
 }
--- a/crates/raildale/src/fleet/agent/reports.rs
+++ b/crates/raildale/src/fleet/agent/reports.rs
@@ -15,7 +15,10 @@
 };
 use tokio::{net::UdpSocket, sync::mpsc};
 
-use crate::fleet::{frames, steady_clock::now_ms};
+use crate::fleet::{
+    frames::{self, NoteReceiver},
+    steady_clock::now_ms,
+};
 
 /// An entry host that has not briefed for this long gets no more reports,
 /// in milliseconds.
@@ -52,18 +55,10 @@
 
     /// Takes briefings for as long as the process runs.
     pub async fn receive(self, events: mpsc::UnboundedSender<Event>) {
-        let mut buffer = vec![0; frames::MAX_DATAGRAM_BYTES];
+        let mut notes = NoteReceiver::new(self.socket.clone());
         loop {
-            let (length, from) = match self.socket.recv_from(&mut buffer).await
-            {
-                Ok(received) => received,
-                Err(error) => {
-                    log::debug!("datagram: {error}");
-                    continue;
-                }
-            };
-            let note = frames::decode_note(&buffer[..length]);
-            if let Some(Note::Briefing(briefing)) = note {
+            let (note, from) = notes.next().await;
+            if let Note::Briefing(briefing) = note {
                 let sent_ms = briefing.sent_ms;
                 let reader = Reader { at_ms: now_ms(), sent_ms };
                 self.readers.borrow_mut().insert(from, reader);
--- a/crates/raildale/src/fleet/agent/server.rs
+++ b/crates/raildale/src/fleet/agent/server.rs
@@ -1,12 +1,12 @@
 //! What other agents ask of this one.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc};
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::StreamExt;
 use raildale_core::{
     fleet_message::{AskItem, FleetBody, GiveItem},
-    swarm::{Event, Item, Ticket, reducer::Content},
+    swarm::{Event, Item, Ticket, WeightDigest, reducer::Content},
 };
 use tokio::{
     io::AsyncWriteExt,
@@ -17,6 +17,7 @@
 
 use crate::{
     codec,
+    error::Error,
     fleet::{frames, steady_clock::now_ms},
     pacer::{Pacer, SLICE_BYTES},
 };
@@ -31,7 +32,7 @@
     content: Content,
 }
 
-/// Questions that are open, by ticket.
+/// Answers other agents' questions.
 #[derive(Clone, Debug)]
 pub struct Server {
     events: mpsc::UnboundedSender<Event>,
@@ -51,10 +52,21 @@
 /// reader does not hold up the others.
 const CHUNKS_AT_ONCE: usize = 2;
 
+/// Questions without an answer yet.
 #[derive(Debug, Default)]
 struct OpenQuestions {
     last: u64,
-    by_ticket: HashMap<Ticket, (u64, u64, Answers)>,
+    by_ticket: HashMap<Ticket, OpenQuestion>,
+}
+
+/// A question without an answer yet.
+#[derive(Debug)]
+struct OpenQuestion {
+    /// Its name on its connection.
+    question: u64,
+    asked_ms: u64,
+    /// Where its answer goes.
+    answers: Answers,
 }
 
 impl Server {
@@ -73,35 +85,41 @@
     /// Takes connections for as long as the process runs.
     pub async fn run(self, listener: TcpListener) {
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    frames::tune(&stream);
-                    tokio::task::spawn_local(self.clone().serve(stream));
-                }
-                Err(error) => log::warn!("accept: {error}"),
-            }
+            let (stream, from) = frames::accept(&listener).await;
+            tokio::task::spawn_local(self.clone().serve(stream, from));
         }
     }
 
     /// Answers a question.
     pub fn answer(&self, ticket: Ticket, content: Content) {
         let known = self.open.borrow_mut().by_ticket.remove(&ticket);
-        if let Some((question, asked_ms, answers)) = known {
+        if let Some(open) = known {
+            let OpenQuestion { question, asked_ms, answers } = open;
             // Whoever asked may have gone.
             let _ = answers.send(Waiting { question, asked_ms, content });
         }
     }
 
-    async fn serve(self, stream: TcpStream) {
+    async fn serve(self, stream: TcpStream, from: SocketAddr) {
         let (read, write) = stream.into_split();
         let (answers, frames_out) = mpsc::unbounded_channel();
         let link = self.link.clone();
         tokio::task::spawn_local(write_paced(write, frames_out, link));
         let mut questions = FramedRead::new(read, codec::splitter());
-        while let Some(Ok(frame)) = questions.next().await {
-            match frames::decode_frame(frame.freeze()) {
+        while let Some(frame) = questions.next().await {
+            let body = frame
+                .map_err(Error::from)
+                .and_then(|frame| frames::decode_frame(frame.freeze()));
+            match body {
                 Ok(FleetBody::AskItem(ask)) => self.take(ask, &answers),
-                _ => return,
+                Ok(_) => {
+                    log::warn!("agent {from}: a frame out of place");
+                    return;
+                }
+                Err(error) => {
+                    log::warn!("agent {from}: {error}");
+                    return;
+                }
             }
         }
     }
@@ -111,8 +129,12 @@
             let mut open = self.open.borrow_mut();
             open.last += 1;
             let ticket = Ticket(open.last);
-            let waiting = (ask.question, now_ms(), answers.clone());
-            open.by_ticket.insert(ticket, waiting);
+            let question = OpenQuestion {
+                question: ask.question,
+                asked_ms: now_ms(),
+                answers: answers.clone(),
+            };
+            open.by_ticket.insert(ticket, question);
             ticket
         };
         let item = ask.chunk.map_or(Item::Manifest, Item::Chunk);
@@ -132,11 +154,7 @@
     };
     match content {
         Content::Manifest(digests) => {
-            let mut bytes = BytesMut::new();
-            for digest in digests {
-                bytes.extend_from_slice(digest.as_bytes());
-            }
-            give.digests = Some(bytes.freeze());
+            give.digests = Some(WeightDigest::encode_all(&digests));
         }
         Content::Chunk(data) => give.chunk = Some(data),
         Content::Absent => {}
--- a/crates/raildale/src/fleet/entry/callers.rs
+++ b/crates/raildale/src/fleet/entry/callers.rs
@@ -49,27 +49,12 @@
     Ok(())
 }
 
-async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, peer)) => {
-                frames::tune(&stream);
-                return (stream, peer);
-            }
-            Err(error) => {
-                log::warn!("accept: {error}");
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-        }
-    }
-}
-
 async fn accept_callers<P>(host: Rc<EntryHost<P>>, listener: TcpListener)
 where
     P: Dialect + Store + 'static,
 {
     loop {
-        let (stream, _) = accept(&listener).await;
+        let (stream, _) = frames::accept(&listener).await;
         tokio::task::spawn_local(serve_caller(host.clone(), stream));
     }
 }
@@ -147,7 +132,7 @@
     P: Dialect + Store + 'static,
 {
     loop {
-        let (stream, _) = accept(&listener).await;
+        let (stream, _) = frames::accept(&listener).await;
         let host = host.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(|request: Request<Incoming>| {
--- a/crates/raildale/src/fleet/entry/peers.rs
+++ b/crates/raildale/src/fleet/entry/peers.rs
@@ -22,7 +22,7 @@
     error::Error,
     fleet::{
         edge::{Dialect, Store},
-        frames,
+        frames::{self, NoteReceiver},
         steady_clock::now_ms,
     },
 };
@@ -50,19 +50,16 @@
 where
     P: Dialect + Store + 'static,
 {
-    let mut buffer = vec![0; frames::MAX_DATAGRAM_BYTES];
+    let mut notes = NoteReceiver::new(socket);
     loop {
-        let (length, from) = match socket.recv_from(&mut buffer).await {
-            Ok(received) => received,
-            Err(error) => {
-                log::debug!("datagram: {error}");
-                continue;
+        match notes.next().await {
+            (Note::Hello(hello), from) => {
+                take_hello(&host, from.ip(), hello);
+            }
+            (Note::Report(report), from) => take_report(&host, from, report),
+            (Note::Briefing(_), from) => {
+                log::debug!("a briefing from {from}, out of place");
             }
-        };
-        match frames::decode_note(&buffer[..length]) {
-            Some(Note::Hello(hello)) => take_hello(&host, from.ip(), hello),
-            Some(Note::Report(report)) => take_report(&host, report),
-            Some(Note::Briefing(_)) | None => {}
         }
     }
 }
@@ -85,8 +82,14 @@
     members.heard(now_ms(), entry, heartbeat);
 }
 
-fn take_report<P>(host: &EntryHost<P>, report: Report) {
-    let Ok(address) = report.address.parse() else { return };
+fn take_report<P>(host: &EntryHost<P>, from: SocketAddr, report: Report) {
+    let address = match report.address.parse() {
+        Ok(address) => address,
+        Err(error) => {
+            log::warn!("report from {from}: its address: {error}");
+            return;
+        }
+    };
     let round_trip_ms = match report.briefing_sent_ms {
         0 => 0,
         sent_ms => now_ms()
--- a/crates/raildale/src/fleet/entry/snapshots.rs
+++ b/crates/raildale/src/fleet/entry/snapshots.rs
@@ -15,10 +15,10 @@
     fleet_message::{AskSnapshot, FleetBody, GiveSnapshot, ObjectEntry},
 };
 use tokio::{
-    io::AsyncWriteExt,
+    io::{AsyncRead, AsyncWriteExt},
     net::{TcpListener, TcpStream},
 };
-use tokio_util::codec::Framed;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use super::EntryHost;
 use crate::{
@@ -47,35 +47,54 @@
     let host = host.clone();
     tokio::task::spawn_local(async move {
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    frames::tune(&stream);
-                    let host = host.clone();
-                    tokio::task::spawn_local(answer(host, stream));
-                }
-                Err(error) => log::warn!("accept: {error}"),
-            }
+            let (stream, from) = frames::accept(&listener).await;
+            tokio::task::spawn_local(answer(host.clone(), stream, from));
         }
     });
     Ok(())
 }
 
-async fn answer<P>(host: Rc<EntryHost<P>>, mut stream: TcpStream)
+async fn answer<P>(host: Rc<EntryHost<P>>, stream: TcpStream, from: SocketAddr)
+where
+    P: Dialect + Store + 'static,
+{
+    if let Err(error) = try_answer(&host, stream).await {
+        log::debug!("snapshot for {from}: {error}");
+    }
+}
+
+/// Answers the one question of a connection.
+async fn try_answer<P>(
+    host: &EntryHost<P>,
+    mut stream: TcpStream,
+) -> Result<(), Error>
 where
     P: Dialect + Store + 'static,
 {
     let mut framed = Framed::new(&mut stream, codec::splitter());
-    let Some(Ok(frame)) = framed.next().await else { return };
-    let Ok(FleetBody::AskSnapshot(ask)) = frames::decode_frame(frame.freeze())
-    else {
-        return;
+    let kind = match next_body(&mut framed).await? {
+        FleetBody::AskSnapshot(ask) => Kind::from_number(ask.kind)
+            .ok_or(Error::new(ErrorKind::Frame, "no such kind"))?,
+        _ => return Err(Error::new(ErrorKind::Frame, "out of place")),
     };
-    let Some(kind) = Kind::from_number(ask.kind) else { return };
     let give = encode_snapshot(kind, &host.snapshot(kind));
     let frame = frames::encode_frame(FleetBody::GiveSnapshot(give));
-    if let Err(error) = stream.write_all(&frame).await {
-        log::debug!("snapshot: {error}");
-    }
+    stream.write_all(&frame).await?;
+    Ok(())
+}
+
+/// The next frame of a connection.
+async fn next_body<S>(
+    framed: &mut Framed<S, LengthDelimitedCodec>,
+) -> Result<FleetBody, Error>
+where
+    S: AsyncRead + Unpin,
+{
+    let frame = framed
+        .next()
+        .await
+        .ok_or(Error::new(ErrorKind::Frame, "closed"))??;
+    frames::decode_frame(frame.freeze())
 }
 
 /// Asks an entry host for a kind and takes it over.
@@ -102,13 +121,8 @@
     let stream = frames::connect(from).await?;
     let mut framed = Framed::new(stream, codec::splitter());
     let ask = FleetBody::AskSnapshot(AskSnapshot { kind: kind.number() });
-    let encoded = frames::encode_frame(ask).slice(codec::LENGTH_BYTES..);
-    framed.send(encoded).await?;
-    let frame = framed
-        .next()
-        .await
-        .ok_or(Error::new(ErrorKind::Frame, "closed"))??;
-    match frames::decode_frame(frame.freeze())? {
+    framed.send(frames::encode_body(ask)).await?;
+    match next_body(&mut framed).await? {
         FleetBody::GiveSnapshot(give) => Ok(decode_snapshot(give)),
         _ => Err(Error::new(ErrorKind::Frame, "out of place")),
     }
--- a/crates/raildale/src/fleet/frames.rs
+++ b/crates/raildale/src/fleet/frames.rs
@@ -1,11 +1,11 @@
 //! Datagrams and frames between the processes of a fleet.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use prost::Message;
 use raildale_core::fleet_message::{Datagram, FleetBody, FleetFrame, Note};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 use crate::{
     codec,
@@ -14,23 +14,63 @@
 
 /// How long a connection may take to come up: four times the way between
 /// the farthest data centres, with a retransmission.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Time after which unacknowledged bytes end a connection: a machine without
 /// power says nothing.
-pub const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Bytes of a datagram at most.
-pub const MAX_DATAGRAM_BYTES: usize = 8 << 10;
+/// Pause after a connection could not be accepted: descriptors may have run
+/// out, and a loop without a pause would only burn the processor. The figure
+/// is an estimate.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Bytes of a datagram at most. Each agent takes 13 bytes of a briefing while
+/// versions are below 128.
+const MAX_DATAGRAM_BYTES: usize = 8 << 10;
 
 /// Encodes a datagram.
 pub fn encode_note(note: Note) -> Vec<u8> {
     Datagram { note: Some(note) }.encode_to_vec()
 }
 
-/// Decodes a datagram; `None` if it is malformed.
-pub fn decode_note(bytes: &[u8]) -> Option<Note> {
-    Datagram::decode(bytes).ok()?.note
+/// Receives datagrams of a socket, one after the other.
+#[derive(Debug)]
+pub struct NoteReceiver {
+    socket: Rc<UdpSocket>,
+    buffer: Vec<u8>,
+}
+
+impl NoteReceiver {
+    /// A receiver of what comes to `socket`.
+    pub fn new(socket: Rc<UdpSocket>) -> NoteReceiver {
+        NoteReceiver { socket, buffer: vec![0; MAX_DATAGRAM_BYTES] }
+    }
+
+    /// The next well-formed datagram, and who sent it.
+    pub async fn next(&mut self) -> (Note, SocketAddr) {
+        loop {
+            match self.socket.recv_from(&mut self.buffer).await {
+                Ok((length, from)) => {
+                    match Datagram::decode(&self.buffer[..length]) {
+                        Ok(Datagram { note: Some(note) }) => {
+                            return (note, from);
+                        }
+                        Ok(_) => log::debug!("empty datagram from {from}"),
+                        Err(error) => {
+                            log::debug!("datagram from {from}: {error}");
+                        }
+                    }
+                }
+                Err(error) => log::debug!("datagram: {error}"),
+            }
+        }
+    }
+}
+
+/// Encodes a frame without its length, for a sink that puts it in front.
+pub fn encode_body(body: FleetBody) -> Bytes {
+    Bytes::from(FleetFrame { body: Some(body) }.encode_to_vec())
 }
 
 /// Encodes a frame with its length.
@@ -69,9 +109,25 @@
     Ok(stream)
 }
 
+/// The next connection that comes to `listener`, and who opened it.
+pub async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                tune(&stream);
+                return (stream, peer);
+            }
+            Err(error) => {
+                log::warn!("accept: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Sets what every connection of a fleet has: small writes leave at once,
 /// and a silent peer ends it.
-pub fn tune(stream: &TcpStream) {
+fn tune(stream: &TcpStream) {
     let socket = socket2::SockRef::from(stream);
     let set = stream
         .set_nodelay(true)
