Agent: calls, questions to the store and the loop are apart

worker.rs held the loop, the calls of target and origin, and the questions to the store. calls.rs now has the calls (WeightCalls), store_facts.rs the questions and what they told (StoreFacts); worker.rs keeps the loop and the match over effects. The order of questions and of events is unchanged. The knob LOOKS_PER_REPORT, which was 1, is gone: each look is reported.

--- a/crates/raildale/src/fleet/agent/mod.rs
+++ b/crates/raildale/src/fleet/agent/mod.rs
@@ -1,13 +1,17 @@
 //! The shell of an agent: I/O round [`Swarm`].
 //!
 //! * [`worker`]: the loop that feeds the reducer and carries out effects.
+//! * [`calls`]: calls of the target and of the origin.
+//! * [`store_facts`]: what the store is asked for.
 //! * [`links`]: connections to other agents.
 //! * [`server`]: what other agents ask of this one.
 //! * [`reports`]: what the entry hosts are told, and what they tell.
 
+pub mod calls;
 pub mod links;
 pub mod reports;
 pub mod server;
+pub mod store_facts;
 pub mod worker;
 
 use tokio::{
--- a/crates/raildale/src/fleet/agent/worker.rs
+++ b/crates/raildale/src/fleet/agent/worker.rs
@@ -4,9 +4,8 @@
 
 use raildale_core::{
     LogEvent, Name,
-    catalog::Kind,
     swarm::{
-        Effect, Event, FetchError, Item, Peer, Source, SwapConfig, Swarm,
+        Effect, Event, Item, LoadMethod, Source, SwapConfig, Swarm,
         SwarmConfig,
     },
 };
@@ -16,21 +15,24 @@
 };
 
 use super::{
+    calls::WeightCalls,
     links::{Links, Question},
     reports::Reports,
     server::Server,
+    store_facts::StoreFacts,
 };
 use crate::{
     error::{Error, ErrorKind},
     fleet::{
         edge::{Dialect, Store, WeightOrigin, WeightTarget},
-        settings::{FleetFile, TargetSettings},
+        settings::FleetFile,
         steady_clock::now_ms,
     },
     logs,
 };
 
-/// Transfers at once.
+/// Transfers at once: six chunks of 49,152 bytes take 250 ms on a link of
+/// 9.4 Mbit/s.
 const PARALLEL: usize = 6;
 
 /// The share of the link that chunks may use: answers to callers leave by
@@ -43,34 +45,23 @@
 /// Time between two looks at the target while weights are on their way.
 const BUSY_LOOK: Duration = Duration::from_millis(50);
 
-/// Looks between two regular reports.
-const LOOKS_PER_REPORT: u32 = 1;
-
-/// Without a briefing for this long the store is asked, in milliseconds.
+/// Without a briefing for this long the store is asked, in milliseconds:
+/// entry hosts brief every 400 ms.
 const UNBRIEFED_MS: u64 = 1_500;
 
-/// Time between two questions to the store, in milliseconds.
-const STORE_PAUSE_MS: u64 = 2_000;
-
-/// What the store told of the service.
-#[derive(Clone, Debug, Default)]
-struct Facts {
-    model: Option<Name>,
-    origin: Option<SocketAddr>,
-}
+type Inbox = mpsc::UnboundedReceiver<Event>;
 
+/// What the loop of an agent holds.
 struct Agent<P> {
     platform: Rc<P>,
     name: Name,
-    target: TargetSettings,
     swarm: Swarm,
-    facts: Facts,
+    store: StoreFacts<P>,
+    calls: WeightCalls<P>,
     links: Links,
     server: Server,
     reports: Reports,
     events: mpsc::UnboundedSender<Event>,
-    asked_store_ms: u64,
-    looks: u32,
 }
 
 /// Runs an agent for as long as the process runs.
@@ -83,82 +74,98 @@
 where
     P: Dialect + Store + WeightTarget + WeightOrigin + 'static,
 {
-    let target = file.target.clone().ok_or_else(|| {
-        Error::new(ErrorKind::Config, "target: an agent needs it")
-    })?;
-    let address = SocketAddr::new(file.node.ip, file.node.agent_port());
-    let listener = TcpListener::bind(address).await?;
-    let socket = UdpSocket::bind(address).await?;
-    let (events, mut inbox) = mpsc::unbounded_channel();
-    let bytes_per_s = (file.link_bytes_per_s() * LINK_SHARE) as u64;
-    let server = Server::new(events.clone(), bytes_per_s);
-    let reports = Reports::new(socket, target.address);
-    tokio::task::spawn_local(server.clone().run(listener));
-    tokio::task::spawn_local(reports.clone().receive(events.clone()));
-    let swap = SwapConfig {
-        bound_ms: file.bounds.version_ms,
-        ..SwapConfig::default()
-    };
-    let mut agent = Agent {
-        platform: Rc::new(platform),
-        name: Name::from(file.node.name.as_str()),
-        swarm: Swarm::new(SwarmConfig {
-            ip: file.node.ip,
-            data_centre: Name::from(file.node.data_centre.as_str()),
-            parallel: PARALLEL,
-            swap,
-        }),
-        target,
-        facts: Facts::default(),
-        links: Links::new(file.node.agent_port(), events.clone()),
-        server,
-        reports,
-        events,
-        asked_store_ms: 0,
-        looks: 0,
-    };
-    let detail = format!("role=agent ip={}", file.node.ip);
-    logs::event(&agent.name, LogEvent::Started, &detail);
+    let (mut agent, inbox) = Agent::start(file, platform).await?;
     agent.ask_store().await;
-    loop {
-        agent.look().await;
-        let pause = match agent.swarm.is_calm() {
-            true => CALM_LOOK,
-            false => BUSY_LOOK,
-        };
-        let until = tokio::time::Instant::now() + pause;
-        while let Ok(Some(event)) =
-            tokio::time::timeout_at(until, inbox.recv()).await
-        {
-            agent.take(event).await;
-        }
-    }
+    agent.run(inbox).await
 }
 
 impl<P> Agent<P>
 where
     P: Dialect + Store + WeightTarget + WeightOrigin + 'static,
 {
-    /// Looks at the target, and tells the entry hosts now and then.
+    /// Listens, and starts the tasks beside the loop.
+    async fn start(
+        file: FleetFile,
+        platform: P,
+    ) -> Result<(Agent<P>, Inbox), Error> {
+        let target = file.target.clone().ok_or_else(|| {
+            Error::new(ErrorKind::Config, "target: an agent needs it")
+        })?;
+        let address = SocketAddr::new(file.node.ip, file.node.agent_port());
+        let listener = TcpListener::bind(address).await?;
+        let socket = UdpSocket::bind(address).await?;
+        let (events, inbox) = mpsc::unbounded_channel();
+        let bytes_per_s = (file.link_bytes_per_s() * LINK_SHARE) as u64;
+        let server = Server::new(events.clone(), bytes_per_s);
+        let reports = Reports::new(socket, target.address);
+        tokio::task::spawn_local(server.clone().run(listener));
+        tokio::task::spawn_local(reports.clone().receive(events.clone()));
+        let platform = Rc::new(platform);
+        let agent = Agent {
+            name: Name::from(file.node.name.as_str()),
+            swarm: Swarm::new(swarm_config(&file)),
+            store: StoreFacts::new(platform.clone(), target.service),
+            calls: WeightCalls::new(platform.clone(), events.clone()),
+            links: Links::new(file.node.agent_port(), events.clone()),
+            platform,
+            server,
+            reports,
+            events,
+        };
+        let detail = format!("role=agent ip={}", file.node.ip);
+        logs::event(&agent.name, LogEvent::Started, &detail);
+        Ok((agent, inbox))
+    }
+
+    /// Looks at the target regularly, and takes events in between.
+    async fn run(&mut self, mut inbox: Inbox) -> Result<(), Error> {
+        loop {
+            self.look().await;
+            let pause = match self.swarm.is_calm() {
+                true => CALM_LOOK,
+                false => BUSY_LOOK,
+            };
+            let until = tokio::time::Instant::now() + pause;
+            while let Ok(Some(event)) =
+                tokio::time::timeout_at(until, inbox.recv()).await
+            {
+                self.take(event).await;
+            }
+        }
+    }
+
+    /// Looks at the target, tells the entry hosts, and asks the store if
+    /// nobody else tells what it knows.
     async fn look(&mut self) {
         let state = self.platform.state().await.unwrap_or_default();
         self.take(Event::Target(state)).await;
         self.take(Event::Tick).await;
-        self.looks += 1;
-        if self.looks.is_multiple_of(LOOKS_PER_REPORT) {
-            self.reports.send(&self.swarm.report()).await;
-        }
+        self.reports.send(&self.swarm.report()).await;
         let now = now_ms();
         let is_unbriefed =
             now > self.reports.last_briefing_ms() + UNBRIEFED_MS;
-        let needs_facts =
-            self.facts.model.is_none() || self.facts.origin.is_none();
-        let is_due = now > self.asked_store_ms + STORE_PAUSE_MS;
-        if (is_unbriefed || needs_facts) && is_due {
+        let needs_store = is_unbriefed || !self.store.is_complete();
+        if needs_store && self.store.may_ask(now) {
             self.ask_store().await;
         }
     }
 
+    async fn ask_store(&mut self) {
+        self.store.begin_round();
+        let layout = self.store.ask_layout().await;
+        for event in self.store.ask_versions().await {
+            self.take(event).await;
+        }
+        if let Some(peers) = self.store.ask_peers().await {
+            self.take(peers).await;
+        }
+        // Last: transfers begin with it, and an agent that knows of no other
+        // would take everything from the origin.
+        if let Some(layout) = layout {
+            self.take(layout).await;
+        }
+    }
+
     async fn take(&mut self, event: Event) {
         let mut effects = Vec::new();
         self.swarm.reduce(now_ms(), event, &mut effects);
@@ -180,20 +187,17 @@
             Effect::Answer { ticket, content } => {
                 self.server.answer(ticket, content);
             }
-            Effect::ReadStaging { version } => self.read_staging(version),
-            Effect::Stage { version, chunks } => self.stage(version, chunks),
-            Effect::Order { version, method } => {
-                let Some(model) = self.facts.model.clone() else { return };
-                let detail = format!("version={version} method={method:?}");
-                logs::event(&self.name, LogEvent::SwapOrdered, &detail);
-                let platform = self.platform.clone();
-                let events = self.events.clone();
-                tokio::task::spawn_local(async move {
-                    let is_taken =
-                        platform.load(&model, version, method).await;
-                    let _ = events.send(Event::Ordered { version, is_taken });
-                });
+            Effect::ReadStaging { version } => {
+                if let Some(model) = self.known_model("read its staging") {
+                    self.calls.read_staging(model, version);
+                }
             }
+            Effect::Stage { version, chunks } => {
+                if let Some(model) = self.known_model("stage chunks") {
+                    self.calls.stage(model, version, chunks);
+                }
+            }
+            Effect::Order { version, method } => self.order(version, method),
             Effect::Report => {
                 self.reports.send(&self.swarm.report()).await;
             }
@@ -204,155 +208,44 @@
     }
 
     fn ask_origin(&self, version: u64, item: Item) {
-        let events = self.events.clone();
-        let facts = (self.facts.model.clone(), self.facts.origin);
-        let (Some(model), Some(origin)) = facts else {
-            let _ = events.send(not_fetched(version, item));
-            return;
-        };
-        let platform = self.platform.clone();
-        let asked_ms = now_ms();
-        tokio::task::spawn_local(async move {
-            let source = Source::Origin;
-            let event = match item {
-                Item::Manifest => {
-                    let found =
-                        platform.manifest(origin, &model, version).await;
-                    let result = found.ok_or(FetchError::Lost);
-                    Event::Manifest { version, source, result }
-                }
-                Item::Chunk(index) => {
-                    let found =
-                        platform.chunk(origin, &model, version, index).await;
-                    let result = found.ok_or(FetchError::Lost);
-                    let took_ms = now_ms() - asked_ms;
-                    Event::Chunk { version, index, source, result, took_ms }
-                }
-            };
-            let _ = events.send(event);
-        });
-    }
-
-    fn read_staging(&self, version: u64) {
-        let Some(model) = self.facts.model.clone() else { return };
-        let platform = self.platform.clone();
-        let events = self.events.clone();
-        tokio::task::spawn_local(async move {
-            let mut chunks = Vec::new();
-            for index in platform.staged(&model).await {
-                if let Some(data) = platform.read_staged(&model, index).await {
-                    chunks.push((index, data));
-                }
+        match (self.store.model(), self.store.origin()) {
+            (Some(model), Some(origin)) => {
+                self.calls.fetch(origin, model, version, item);
             }
-            let _ = events.send(Event::StagingRead { version, chunks });
-        });
-    }
-
-    fn stage(&self, version: u64, chunks: Vec<bytes::Bytes>) {
-        let Some(model) = self.facts.model.clone() else { return };
-        let platform = self.platform.clone();
-        let events = self.events.clone();
-        tokio::task::spawn_local(async move {
-            let mut is_done = true;
-            for (index, data) in chunks.into_iter().enumerate() {
-                is_done &= platform.stage(&model, index as u32, data).await;
+            _ => {
+                let event = Event::lost(version, item, Source::Origin);
+                // The loop that takes events ends with the process only.
+                let _ = self.events.send(event);
             }
-            let _ = events.send(Event::Staged { version, is_done });
-        });
-    }
-
-    /// Asks the store for what briefings tell otherwise, and for the model
-    /// and the origin, which they do not.
-    async fn ask_store(&mut self) {
-        self.asked_store_ms = now_ms();
-        let layout = self.ask_routing().await;
-        self.ask_versions().await;
-        self.ask_targets().await;
-        // Last: transfers begin with it, and an agent that knows of no other
-        // would take everything from the origin.
-        if let Some(layout) = layout {
-            self.take(layout).await;
         }
     }
 
-    async fn ask_routing(&mut self) -> Option<Event> {
-        let listed = self.platform.list(Kind::Configuration, true).await;
-        let snapshot = listed.ok()?;
-        let mut layout = None;
-        for object in &snapshot.objects {
-            let routing = match self.platform.routing(&object.body) {
-                Ok(routing) => routing,
-                Err(error) => {
-                    log::warn!("configuration: {error}");
-                    continue;
-                }
-            };
-            self.facts.origin =
-                routing.services().find_map(|service| service.origin);
-            let Some(service) = routing.service(&self.target.service) else {
-                continue;
-            };
-            let Some(engine) = &service.engine else { continue };
-            self.facts.model = engine.models.first().cloned();
-            let chunk_count = engine.chunk_count;
-            let may_cut = routing.is_resumable(&service.name);
-            layout = Some(Event::Layout {
-                chunk_count,
-                may_cut,
-                origin_connections: routing.origin_connections(),
-            });
+    fn order(&self, version: u64, method: LoadMethod) {
+        if let Some(model) = self.known_model("load a version") {
+            let detail = format!("version={version} method={method:?}");
+            logs::event(&self.name, LogEvent::SwapOrdered, &detail);
+            self.calls.order(model, version, method);
         }
-        layout
     }
 
-    async fn ask_versions(&mut self) {
-        let listed = self.platform.list(Kind::Versions, true).await;
-        let Ok(snapshot) = listed else { return };
-        for object in &snapshot.objects {
-            match self.platform.named_weights(&object.body) {
-                Ok(named)
-                    if Some(&named.model) == self.facts.model.as_ref() =>
-                {
-                    let version = named.version;
-                    let named_ms = now_ms();
-                    self.take(Event::Named { version, named_ms }).await;
-                }
-                Ok(_) => {}
-                Err(error) => log::warn!("version: {error}"),
-            }
+    /// The target's model; a log line if the store has not told it yet.
+    fn known_model(&self, purpose: &str) -> Option<Name> {
+        let model = self.store.model();
+        if model.is_none() {
+            log::warn!("the target was not asked to {purpose}: no model yet");
         }
-    }
-
-    async fn ask_targets(&mut self) {
-        let listed = self.platform.list(Kind::Targets, true).await;
-        let Ok(snapshot) = listed else { return };
-        let peers = snapshot
-            .objects
-            .iter()
-            .filter_map(|object| self.platform.target(object).ok())
-            .filter(|spec| *spec.service == *self.target.service)
-            .map(|spec| Peer {
-                ip: spec.address.ip(),
-                data_centre: spec.data_centre,
-                // The list may be older than a loss of power: who holds
-                // what is believed from briefings alone.
-                whole_version: 0,
-                serves_version: spec.serves_version.unwrap_or(0),
-            })
-            .collect();
-        self.take(Event::Peers(peers)).await;
+        model
     }
 }
 
-fn not_fetched(version: u64, item: Item) -> Event {
-    let source = Source::Origin;
-    let result = Err(FetchError::Lost);
-    match item {
-        Item::Manifest => {
-            Event::Manifest { version, source, result: Err(FetchError::Lost) }
-        }
-        Item::Chunk(index) => {
-            Event::Chunk { version, index, source, result, took_ms: 0 }
-        }
+fn swarm_config(file: &FleetFile) -> SwarmConfig {
+    SwarmConfig {
+        ip: file.node.ip,
+        data_centre: Name::from(file.node.data_centre.as_str()),
+        parallel: PARALLEL,
+        swap: SwapConfig {
+            bound_ms: file.bounds.version_ms,
+            ..SwapConfig::default()
+        },
     }
 }
