Merge main into tidy: its changes of the reducer in the split modules

Main changed reducer.rs, which no longer exists here: the time since which a version is whole, which versions are overtaken, and manifests that wait for no room went to reducer/arrivals, change_over and transfers. Nothing else was resolved by hand.

--- a/crates/raildale-core/src/swarm/reducer/arrivals.rs
+++ b/crates/raildale-core/src/swarm/reducer/arrivals.rs
@@ -10,7 +10,6 @@
     swarm::{
         digest::WeightDigest,
         sources::{Source, TRIES_PER_SOURCE},
-        version::Version,
     },
 };
 
@@ -90,7 +89,7 @@
         held.origin_mismatches = 0;
         self.hand_out(version, index, effects);
         if !was_whole {
-            self.note_whole(version, effects);
+            self.note_whole(now_ms, version, effects);
         }
     }
 
@@ -130,8 +129,15 @@
         }
     }
 
-    pub(super) fn note_whole(&self, version: u64, effects: &mut Vec<Effect>) {
-        if self.versions.get(&version).is_some_and(Version::is_whole) {
+    pub(super) fn note_whole(
+        &mut self,
+        now_ms: u64,
+        version: u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(held) = self.versions.get_mut(&version) else { return };
+        if held.is_whole() {
+            held.whole_ms.get_or_insert(now_ms);
             let detail = format!("version={version}");
             effects.push(Effect::Log(LogEvent::SpreadWhole, detail));
             effects.push(Effect::Report);
--- a/crates/raildale-core/src/swarm/reducer/change_over.rs
+++ b/crates/raildale-core/src/swarm/reducer/change_over.rs
@@ -35,6 +35,7 @@
 
     pub(super) fn staging_read(
         &mut self,
+        now_ms: u64,
         version: u64,
         chunks: Vec<(u32, Bytes)>,
         effects: &mut Vec<Effect>,
@@ -52,7 +53,7 @@
             self.hand_out(version, index, effects);
         }
         if !was_whole {
-            self.note_whole(version, effects);
+            self.note_whole(now_ms, version, effects);
         }
     }
 
@@ -156,10 +157,12 @@
     /// When this target's turn for the oldest outstanding version comes.
     fn turn_ms(&self, served: u64, coming: u64) -> u64 {
         let (rank, count) = self.sources.rank();
+        let held = self.versions.get(&coming);
+        let whole_ms = held.and_then(|held| held.whole_ms).unwrap_or(0);
         self.named
             .range(served + 1..=coming)
             .map(|(_, named_ms)| {
-                self.config.swap.turn_ms(*named_ms, rank, count)
+                self.config.swap.turn_ms(*named_ms, whole_ms, rank, count)
             })
             .min()
             .unwrap_or(0)
--- a/crates/raildale-core/src/swarm/reducer/mod.rs
+++ b/crates/raildale-core/src/swarm/reducer/mod.rs
@@ -147,7 +147,7 @@
                 );
             }
             Event::StagingRead { version, chunks } => {
-                self.staging_read(version, chunks, effects);
+                self.staging_read(now_ms, version, chunks, effects);
             }
             Event::Target(state) => self.target_told(now_ms, state, effects),
             Event::Staged { version, is_done } => {
--- a/crates/raildale-core/src/swarm/reducer/transfers.rs
+++ b/crates/raildale-core/src/swarm/reducer/transfers.rs
@@ -81,24 +81,31 @@
         }
     }
 
-    /// Versions to fetch, oldest first. One that was overtaken is finished
-    /// if most of it is here; else it is left out.
+    /// Versions to fetch, oldest first.
     fn needed_versions(&self, served: u64, wanted: u64) -> Vec<u64> {
         if served >= wanted {
             return Vec::new();
         }
-        let mostly_here = |number: &u64| {
-            self.versions
-                .get(number)
-                .is_some_and(|held| held.held() * 2 >= held.slots.len())
-        };
+        let older = self
+            .named
+            .range(served + 1..wanted)
+            .filter(|(number, named_ms)| {
+                !self.is_overtaken(**number, **named_ms)
+            })
+            .map(|(number, _)| *number);
+        older.chain(std::iter::once(wanted)).collect()
+    }
+
+    /// Whether a newer version was named so soon that it can be everywhere
+    /// within the older one's bound: the older one is then left out. All
+    /// agents decide that alike, from the times of naming alone. Else both
+    /// are fetched, the older one first.
+    fn is_overtaken(&self, number: u64, named_ms: u64) -> bool {
+        let swap = &self.config.swap;
+        let bound_ms = named_ms + swap.bound_ms;
         self.named
-            .keys()
-            .copied()
-            .filter(|number| *number > served && *number < wanted)
-            .filter(mostly_here)
-            .chain(std::iter::once(wanted))
-            .collect()
+            .range(number + 1..)
+            .any(|(_, newer_ms)| newer_ms + swap.renew_ms <= bound_ms)
     }
 
     /// Gives transfers up that have taken too long.
@@ -203,7 +210,7 @@
         let hops = slot.waiters.iter().map(|w| w.hops + 1).max().unwrap_or(0);
         let source = self.pick(version, item, slot.failures, hops);
         let may_wait = !self.sources.holds(source, version);
-        if !self.take_room(source, may_wait) {
+        if !self.take_room(item, source, may_wait) {
             return;
         }
         let patience_ms = match may_wait {
@@ -233,13 +240,23 @@
     }
 
     /// Takes the room of one transfer; says whether there was any.
-    fn take_room(&mut self, source: Source, may_wait: bool) -> bool {
+    fn take_room(
+        &mut self,
+        item: Item,
+        source: Source,
+        may_wait: bool,
+    ) -> bool {
         if source == Source::Origin {
             if self.room.from_origin == 0 {
                 return false;
             }
             self.room.from_origin -= 1;
         }
+        if item == Item::Manifest {
+            // It is small, and without it nothing else can begin: it never
+            // waits behind the chunks of another version.
+            return true;
+        }
         let place = match may_wait {
             true => &mut self.room.waiting,
             false => &mut self.room.at_once,
