Core: members' addresses in steps; dead code out

What nobody calls is gone: Sources::is_alone, Mirror::iter; Members::add and MOST_HOPS are private. No behaviour changes.

--- a/crates/raildale-core/src/catalog/mod.rs
+++ b/crates/raildale-core/src/catalog/mod.rs
@@ -97,11 +97,6 @@
         self.objects.get(name)
     }
 
-    /// Every object.
-    pub fn iter(&self) -> impl Iterator<Item = &StoredObject> {
-        self.objects.values()
-    }
-
     /// All of it, to hand on.
     pub fn snapshot(&self) -> Snapshot {
         Snapshot {
--- a/crates/raildale-core/src/members.rs
+++ b/crates/raildale-core/src/members.rs
@@ -28,11 +28,21 @@
     pub revisions: Vec<u64>,
 }
 
+/// What is known of another entry host.
 #[derive(Debug)]
 struct Member {
     entry: MemberEntry,
-    listed_ms: u64,
-    heard: Option<(u64, Heartbeat)>,
+    /// When it became known.
+    known_ms: u64,
+    /// Its last heartbeat.
+    heard: Option<Heard>,
+}
+
+/// A heartbeat that came.
+#[derive(Debug)]
+struct Heard {
+    at_ms: u64,
+    heartbeat: Heartbeat,
 }
 
 /// The entry hosts.
@@ -40,6 +50,7 @@
 pub struct Members {
     own: MemberEntry,
     others: BTreeMap<IpAddr, Member>,
+    /// Since when another has been ahead in a kind.
     behind_since_ms: BTreeMap<Kind, u64>,
 }
 
@@ -47,11 +58,12 @@
 /// heartbeats and a bit.
 pub const SILENT_MS: u64 = 1_400;
 
-/// How long one that is listed and not heard yet counts as alive.
+/// How long one that is listed and not heard yet counts as alive, in
+/// milliseconds: a little longer than the silence that is allowed.
 const GREETING_MS: u64 = 1_500;
 
-/// How long another may be ahead before it is asked: the own watch of the
-/// store usually brings the same change by then.
+/// How long another may be ahead before it is asked, in milliseconds: the
+/// own watch of the store usually brings the same change by then.
 const AHEAD_MS: u64 = 250;
 
 impl Members {
@@ -82,13 +94,13 @@
     }
 
     /// Adds one that may be there.
-    pub fn add(&mut self, now_ms: u64, entry: MemberEntry) {
+    fn add(&mut self, now_ms: u64, entry: MemberEntry) {
         if entry.ip == self.own.ip {
             return;
         }
         let known = self.others.entry(entry.ip).or_insert_with(|| Member {
             entry: entry.clone(),
-            listed_ms: now_ms,
+            known_ms: now_ms,
             heard: None,
         });
         known.entry = entry;
@@ -104,7 +116,7 @@
         let ip = entry.ip;
         self.add(now_ms, entry);
         if let Some(member) = self.others.get_mut(&ip) {
-            member.heard = Some((now_ms, heartbeat));
+            member.heard = Some(Heard { at_ms: now_ms, heartbeat });
         }
     }
 
@@ -118,8 +130,8 @@
         self.others
             .values()
             .filter(|member| {
-                let last_ms =
-                    member.heard.as_ref().map_or(member.listed_ms, |h| h.0);
+                let heard = member.heard.as_ref();
+                let last_ms = heard.map_or(member.known_ms, |h| h.at_ms);
                 now_ms.saturating_sub(last_ms) > ms
             })
             .map(|member| member.entry.clone())
@@ -141,6 +153,25 @@
         is_own_open: bool,
         draw: usize,
     ) -> Vec<IpAddr> {
+        let open = self.open_entries(now_ms, is_own_open);
+        let fair = fair_count(&open);
+        let (here, elsewhere): (Vec<_>, Vec<_>) =
+            open.into_iter().partition(|e| &*e.data_centre == data_centre);
+        let missing = fair.saturating_sub(here.len());
+        let helpers = helpers(elsewhere, missing, draw);
+        here.into_iter()
+            .chain(helpers.into_iter().take(missing))
+            .map(|entry| entry.ip)
+            .collect()
+    }
+
+    /// Entry hosts that take callers, by address. This one is among them if
+    /// it is open, or if no other is.
+    fn open_entries(
+        &self,
+        now_ms: u64,
+        is_own_open: bool,
+    ) -> Vec<&MemberEntry> {
         let mut open: Vec<&MemberEntry> = self
             .others
             .values()
@@ -151,35 +182,7 @@
             open.push(&self.own);
         }
         open.sort_by_key(|entry| entry.ip);
-        let mut centres: Vec<&str> =
-            open.iter().map(|entry| &*entry.data_centre).collect();
-        centres.sort_unstable();
-        centres.dedup();
-        let fair = open.len().div_ceil(centres.len().max(1));
-        let (here, mut elsewhere): (Vec<_>, Vec<_>) =
-            open.into_iter().partition(|e| &*e.data_centre == data_centre);
-        let missing = fair.saturating_sub(here.len());
-        let crowd = |entry: &MemberEntry| {
-            let centre = &entry.data_centre;
-            centres_count(&elsewhere, centre)
-        };
-        let most = elsewhere.iter().map(|e| crowd(e)).max().unwrap_or(0);
-        let crowded: Vec<_> = elsewhere
-            .iter()
-            .copied()
-            .filter(|e| centres_count(&elsewhere, &e.data_centre) == most)
-            .collect();
-        if crowded.len() >= missing {
-            elsewhere = crowded;
-        }
-        if !elsewhere.is_empty() {
-            let turn = draw % elsewhere.len();
-            elsewhere.rotate_left(turn);
-        }
-        here.into_iter()
-            .chain(elsewhere.into_iter().take(missing))
-            .map(|entry| entry.ip)
-            .collect()
+        open
     }
 
     /// A live entry host that has been ahead of this one in a kind for a
@@ -192,8 +195,8 @@
     ) -> Option<IpAddr> {
         let place = kind.number() as usize;
         let revision = |member: &Member| {
-            let (_, heartbeat) = member.heard.as_ref()?;
-            heartbeat.revisions.get(place).copied()
+            let heard = member.heard.as_ref()?;
+            heard.heartbeat.revisions.get(place).copied()
         };
         let ahead = self
             .others
@@ -212,21 +215,49 @@
     }
 }
 
-fn centres_count(entries: &[&MemberEntry], data_centre: &Name) -> usize {
-    entries.iter().filter(|e| e.data_centre == *data_centre).count()
+/// Entry hosts for each data centre's callers, if all were shared evenly.
+fn fair_count(open: &[&MemberEntry]) -> usize {
+    let mut centres: Vec<&str> =
+        open.iter().map(|entry| &*entry.data_centre).collect();
+    centres.sort_unstable();
+    centres.dedup();
+    open.len().div_ceil(centres.len().max(1))
+}
+
+/// Those that may help elsewhere, in turn from place `draw` on: the entry
+/// hosts of the data centres with the most, if these are `missing` at least.
+fn helpers(
+    elsewhere: Vec<&MemberEntry>,
+    missing: usize,
+    draw: usize,
+) -> Vec<&MemberEntry> {
+    let crowd = |entry: &MemberEntry| {
+        let centre = &entry.data_centre;
+        elsewhere.iter().filter(|e| e.data_centre == *centre).count()
+    };
+    let most = elsewhere.iter().map(|e| crowd(e)).max().unwrap_or(0);
+    let crowded: Vec<&MemberEntry> =
+        elsewhere.iter().copied().filter(|e| crowd(e) == most).collect();
+    let is_enough = crowded.len() >= missing;
+    let mut helpers = if is_enough { crowded } else { elsewhere };
+    if !helpers.is_empty() {
+        let turn = draw % helpers.len();
+        helpers.rotate_left(turn);
+    }
+    helpers
 }
 
 fn is_heard(member: &Member, now_ms: u64) -> bool {
     member
         .heard
         .as_ref()
-        .is_some_and(|(at_ms, _)| now_ms.saturating_sub(*at_ms) < SILENT_MS)
+        .is_some_and(|heard| now_ms.saturating_sub(heard.at_ms) < SILENT_MS)
 }
 
 fn is_alive(member: &Member, now_ms: u64) -> bool {
     match member.heard {
         Some(_) => is_heard(member, now_ms),
-        None => now_ms.saturating_sub(member.listed_ms) < GREETING_MS,
+        None => now_ms.saturating_sub(member.known_ms) < GREETING_MS,
     }
 }
 
@@ -234,6 +265,7 @@
     let is_welcoming = member
         .heard
         .as_ref()
-        .is_none_or(|(_, beat)| beat.is_ready && !beat.is_leaving);
+        .map(|heard| &heard.heartbeat)
+        .is_none_or(|beat| beat.is_ready && !beat.is_leaving);
     is_alive(member, now_ms) && is_welcoming
 }
--- a/crates/raildale-core/src/swarm/sources.rs
+++ b/crates/raildale-core/src/swarm/sources.rs
@@ -43,6 +43,10 @@
 /// Tries at one source before the next one is asked.
 pub const TRIES_PER_SOURCE: u32 = 2;
 
+/// Agents that a question passes at most before the origin is asked: the
+/// data centre's owner, and the owner of all.
+const MOST_HOPS: u32 = 2;
+
 /// The live agents, as one of them sees them.
 #[derive(Debug)]
 pub struct Sources {
@@ -51,10 +55,6 @@
     peers: Vec<Peer>,
 }
 
-/// Agents that a question passes at most before the origin is asked: the
-/// data centre's owner, and the owner of all.
-pub const MOST_HOPS: u32 = 2;
-
 impl Sources {
     /// An agent that knows of no other.
     pub fn new(own_ip: IpAddr, data_centre: Name) -> Sources {
@@ -77,11 +77,6 @@
         self.peers = peers;
     }
 
-    /// Whether any other agent is known.
-    pub fn is_alone(&self) -> bool {
-        self.peers.len() < 2
-    }
-
     /// The place of this agent among all, and their count. Neighbours in the
     /// order stand in different data centres, so that no data centre changes
     /// over at once.
