Entry host: what is known of the store, changes and briefings are apart

host.rs held the shared state, the mirrors of the store's kinds and the reaction to each change. host/known_store.rs has the mirrors, where replace and apply share what they did alike; host/changes.rs has the reactions, with one way to log an object that does not decode; host/mod.rs keeps the state and the leaving. peers.rs gave the briefings of agents to briefings.rs. EntryHost::knows and last_request_ms, which nobody read, are gone. No behaviour changes.

--- /dev/null
+++ b/crates/raildale/src/fleet/entry/briefings.rs
@@ -0,0 +1,125 @@
+//! Briefings: what an entry host tells the agents of a service.
+
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, Ipv4Addr},
+};
+
+use raildale_core::{
+    Name,
+    fleet_message::{AgentEntry, Briefing, Named, Note},
+    gateway::Service,
+};
+
+use super::EntryHost;
+use crate::fleet::{
+    edge::{Dialect, Store},
+    frames,
+    steady_clock::now_ms,
+};
+
+/// A briefing, encoded, for each agent of a service whose weights are
+/// spread, and the agent's address.
+pub fn all<P>(host: &EntryHost<P>) -> Vec<(IpAddr, Vec<u8>)>
+where
+    P: Dialect + Store + 'static,
+{
+    let Some(routing) = host.gateway.borrow().routing().cloned() else {
+        return Vec::new();
+    };
+    routing
+        .services()
+        .flat_map(|service| {
+            let chunk_count =
+                service.engine.as_ref().map_or(0, |e| e.chunk_count);
+            if chunk_count == 0 {
+                return Vec::new();
+            }
+            let terms = Briefing {
+                chunk_count,
+                may_cut: routing.is_resumable(&service.name),
+                origin_connections: routing.origin_connections(),
+                ..Briefing::default()
+            };
+            service_briefings(host, service, terms)
+        })
+        .collect()
+}
+
+/// The briefings of a service's agents, which all hold its `terms`.
+fn service_briefings<P>(
+    host: &EntryHost<P>,
+    service: &Service,
+    terms: Briefing,
+) -> Vec<(IpAddr, Vec<u8>)> {
+    let (agents, centres) = agents(host, service);
+    let versions = named(host, service);
+    let short = Briefing { versions, sent_ms: now_ms(), ..terms };
+    let own_centre = &host.node.data_centre;
+    let own_place = centres.iter().position(|c| c == own_centre);
+    let full = Briefing {
+        agents: agents.clone(),
+        data_centres: centres,
+        ..short.clone()
+    };
+    let short = frames::encode_note(Note::Briefing(short));
+    let full = frames::encode_note(Note::Briefing(full));
+    agents
+        .iter()
+        .map(|agent| {
+            let is_near = Some(agent.data_centre as usize) == own_place;
+            // The list goes to the agents next door only: bytes that cross
+            // are dear, and each data centre has its entry hosts.
+            let note = if is_near { full.clone() } else { short.clone() };
+            (IpAddr::V4(Ipv4Addr::from(agent.ip)), note)
+        })
+        .collect()
+}
+
+/// The versions of a service's models that were named, and how long ago.
+fn named<P>(host: &EntryHost<P>, service: &Service) -> Vec<Named> {
+    let now = now_ms();
+    let models = service.engine.as_ref().map_or(&[][..], |e| &e.models);
+    let gateway = host.gateway.borrow();
+    gateway
+        .versions()
+        .filter(|(model, _)| models.contains(model))
+        .flat_map(|(_, versions)| versions)
+        .map(|v| Named {
+            version: v.version,
+            age_ms: now.saturating_sub(v.named_ms),
+        })
+        .collect()
+}
+
+/// The agents of a service, and the data centres to which they refer.
+fn agents<P>(
+    host: &EntryHost<P>,
+    service: &Service,
+) -> (Vec<AgentEntry>, Vec<String>) {
+    let now = now_ms();
+    let gateway = host.gateway.borrow();
+    let mut centres: BTreeMap<Name, u32> = BTreeMap::new();
+    let mut entries = Vec::new();
+    for target in gateway.targets.iter() {
+        let spec = &target.spec;
+        let IpAddr::V4(ip) = spec.address.ip() else { continue };
+        if spec.service != service.name || spec.is_draining {
+            continue;
+        }
+        let count = centres.len() as u32;
+        let place = *centres.entry(spec.data_centre.clone()).or_insert(count);
+        let report = target.report(now);
+        entries.push(AgentEntry {
+            ip: u32::from(ip),
+            data_centre: place,
+            whole_version: report.map_or(0, |r| r.whole_version),
+            serves_version: target.serves_version(now).unwrap_or(0),
+        });
+    }
+    let mut names = vec![String::new(); centres.len()];
+    for (name, place) in centres {
+        names[place as usize] = name.to_string();
+    }
+    (entries, names)
+}
--- a/crates/raildale/src/fleet/entry/callers.rs
+++ b/crates/raildale/src/fleet/entry/callers.rs
@@ -88,7 +88,6 @@
 where
     P: Dialect + Store + 'static,
 {
-    host.last_request_ms.set(now_ms());
     let progress = Progress::begin(&host);
     let mut response = proxy::answer(host.clone(), request, progress).await;
     if host.is_leaving() {
--- a/crates/raildale/src/fleet/entry/mod.rs
+++ b/crates/raildale/src/fleet/entry/mod.rs
@@ -5,9 +5,13 @@
 //! * [`proxy`]: one request from its head to its answer.
 //! * [`stream_body`]: an answer that is a stream of events.
 //! * [`store_watch`]: the store's kinds, watched.
-//! * [`peers`]: heartbeats, briefings and reports.
+//! * [`host`]: what the tasks share, and what the store's changes mean.
+//! * [`upstream`]: connections to targets.
+//! * [`peers`]: heartbeats and reports.
+//! * [`briefings`]: what agents are told.
 //! * [`snapshots`]: kinds handed from one entry host to another.
 
+pub mod briefings;
 pub mod callers;
 pub mod host;
 pub mod peers;
--- a/crates/raildale/src/fleet/entry/peers.rs
+++ b/crates/raildale/src/fleet/entry/peers.rs
@@ -1,9 +1,7 @@
-//! Heartbeats to other entry hosts, briefings to agents, and what comes
-//! back.
+//! Heartbeats to other entry hosts, datagrams to agents, and what comes back.
 
 use std::{
-    collections::BTreeMap,
-    net::{IpAddr, Ipv4Addr, SocketAddr},
+    net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
 };
@@ -11,13 +9,13 @@
 use raildale_core::{
     Name,
     catalog::Kind,
-    fleet_message::{AgentEntry, Briefing, Hello, Named, Note, Report},
-    gateway::{Service, TargetReport},
+    fleet_message::{Hello, Note, Report},
+    gateway::TargetReport,
     members::{Heartbeat, MemberEntry},
 };
 use tokio::net::UdpSocket;
 
-use super::{EntryHost, snapshots};
+use super::{EntryHost, briefings, snapshots};
 use crate::{
     error::Error,
     fleet::{
@@ -27,7 +25,8 @@
     },
 };
 
-/// Time between two heartbeats.
+/// Time between two heartbeats: three of them fit into the silence after
+/// which an entry host counts as gone.
 const HEARTBEAT: Duration = Duration::from_millis(400);
 
 /// Starts sending and receiving.
@@ -140,7 +139,7 @@
         send(socket, &hello, SocketAddr::new(ip, port)).await;
     }
     let port = host.node.agent_port();
-    for (ip, note) in briefings(host) {
+    for (ip, note) in briefings::all(host) {
         send(socket, &note, SocketAddr::new(ip, port)).await;
     }
     let alive = host.members.borrow().alive_count(now_ms());
@@ -164,7 +163,7 @@
         is_ready: host.is_ready(),
         revisions: Kind::ALL
             .into_iter()
-            .map(|kind| host.changed_revision(kind))
+            .map(|kind| host.known.changed_revision(kind))
             .collect(),
     }
 }
@@ -175,113 +174,10 @@
     P: Dialect + Store + 'static,
 {
     for kind in [Kind::Configuration, Kind::Targets, Kind::Versions] {
-        let own = host.changed_revision(kind);
+        let own = host.known.changed_revision(kind);
         let ahead = host.members.borrow_mut().ahead(now_ms(), kind, own);
         if let Some(ip) = ahead {
             tokio::task::spawn_local(snapshots::ask(host.clone(), ip, kind));
         }
     }
 }
-
-/// A briefing for each agent of a service whose weights are spread.
-fn briefings<P>(host: &EntryHost<P>) -> Vec<(IpAddr, Vec<u8>)>
-where
-    P: Dialect + Store + 'static,
-{
-    let Some(routing) = host.gateway.borrow().routing().cloned() else {
-        return Vec::new();
-    };
-    routing
-        .services()
-        .filter(|service| {
-            service.engine.as_ref().is_some_and(|e| e.chunk_count > 0)
-        })
-        .flat_map(|service| {
-            let terms = Briefing {
-                chunk_count: service
-                    .engine
-                    .as_ref()
-                    .map_or(0, |engine| engine.chunk_count),
-                may_cut: routing.is_resumable(&service.name),
-                origin_connections: routing.origin_connections(),
-                ..Briefing::default()
-            };
-            service_briefings(host, service, terms)
-        })
-        .collect()
-}
-
-fn service_briefings<P>(
-    host: &EntryHost<P>,
-    service: &Service,
-    terms: Briefing,
-) -> Vec<(IpAddr, Vec<u8>)> {
-    let (agents, centres) = agents(host, service);
-    let versions = named(host, service);
-    let short = Briefing { versions, sent_ms: now_ms(), ..terms };
-    let own_centre = &host.node.data_centre;
-    let own_place = centres.iter().position(|c| c == own_centre);
-    let full = Briefing {
-        agents: agents.clone(),
-        data_centres: centres,
-        ..short.clone()
-    };
-    let short = frames::encode_note(Note::Briefing(short));
-    let full = frames::encode_note(Note::Briefing(full));
-    agents
-        .iter()
-        .map(|agent| {
-            let is_near = Some(agent.data_centre as usize) == own_place;
-            // The list goes to the agents next door only: bytes that cross
-            // are dear, and each data centre has its entry hosts.
-            let note = if is_near { full.clone() } else { short.clone() };
-            (IpAddr::V4(Ipv4Addr::from(agent.ip)), note)
-        })
-        .collect()
-}
-
-fn named<P>(host: &EntryHost<P>, service: &Service) -> Vec<Named> {
-    let now = now_ms();
-    let models = service.engine.as_ref().map_or(&[][..], |e| &e.models);
-    let gateway = host.gateway.borrow();
-    gateway
-        .versions()
-        .filter(|(model, _)| models.contains(model))
-        .flat_map(|(_, versions)| versions)
-        .map(|v| Named {
-            version: v.version,
-            age_ms: now.saturating_sub(v.named_ms),
-        })
-        .collect()
-}
-
-fn agents<P>(
-    host: &EntryHost<P>,
-    service: &Service,
-) -> (Vec<AgentEntry>, Vec<String>) {
-    let now = now_ms();
-    let gateway = host.gateway.borrow();
-    let mut centres: BTreeMap<Name, u32> = BTreeMap::new();
-    let mut entries = Vec::new();
-    for target in gateway.targets.iter() {
-        let spec = &target.spec;
-        let IpAddr::V4(ip) = spec.address.ip() else { continue };
-        if spec.service != service.name || spec.is_draining {
-            continue;
-        }
-        let count = centres.len() as u32;
-        let place = *centres.entry(spec.data_centre.clone()).or_insert(count);
-        let report = target.report(now);
-        entries.push(AgentEntry {
-            ip: u32::from(ip),
-            data_centre: place,
-            whole_version: report.map_or(0, |r| r.whole_version),
-            serves_version: target.serves_version(now).unwrap_or(0),
-        });
-    }
-    let mut names = vec![String::new(); centres.len()];
-    for (name, place) in centres {
-        names[place as usize] = name.to_string();
-    }
-    (entries, names)
-}
--- a/crates/raildale/src/fleet/entry/snapshots.rs
+++ b/crates/raildale/src/fleet/entry/snapshots.rs
@@ -77,7 +77,7 @@
             .ok_or(Error::new(ErrorKind::Frame, "no such kind"))?,
         _ => return Err(Error::new(ErrorKind::Frame, "out of place")),
     };
-    let give = encode_snapshot(kind, &host.snapshot(kind));
+    let give = encode_snapshot(kind, &host.known.snapshot(kind));
     let frame = frames::encode_frame(FleetBody::GiveSnapshot(give));
     stream.write_all(&frame).await?;
     Ok(())
--- a/crates/raildale/src/fleet/entry/store_watch.rs
+++ b/crates/raildale/src/fleet/entry/store_watch.rs
@@ -84,7 +84,7 @@
 where
     P: Dialect + Store + 'static,
 {
-    let revision = host.revision(kind);
+    let revision = host.known.revision(kind);
     let found = host.platform.watch(kind, revision, WAIT_MS).await?;
     host.metrics.add("store_calls_total", "", 1);
     let is_news = !found.changes.is_empty();
