--- a/crates/raildale/src/fleet/agent/store_facts.rs
+++ b/crates/raildale/src/fleet/agent/store_facts.rs
@@ -135,6 +135,7 @@
                 // what is believed from briefings alone.
                 whole_version: 0,
                 serves_version: spec.serves_version.unwrap_or(0),
+                is_slow: false,
             });
         }
         Some(Event::Peers(peers))
