Reports are encoded and decoded side by side; holders are found in one way

Agent and entry host each listed the fields of a report; Report::of and Report::target_report now stand together in fleet_message.rs, where the round trip is also worked out. Sources::holder serves the own data centre and all others. No behaviour changes.

--- a/crates/raildale-core/src/fleet_message.rs
+++ b/crates/raildale-core/src/fleet_message.rs
@@ -4,8 +4,12 @@
 //! Datagrams carry what is repeated anyway, so a lost one costs a moment;
 //! frames on a connection carry chunks and snapshots.
 
+use std::net::SocketAddr;
+
 use prost::Message;
 
+use crate::gateway::TargetReport;
+
 /// A datagram.
 #[derive(Clone, PartialEq, Message)]
 pub struct Datagram {
@@ -145,6 +149,51 @@
     pub missing_chunks: u32,
 }
 
+/// Thousandths in the whole, as paces are told.
+const MILLI: f64 = 1e3;
+
+impl Report {
+    /// What is told of the target at `address`, without the times of a
+    /// briefing.
+    pub fn of(address: SocketAddr, report: &TargetReport) -> Report {
+        Report {
+            address: address.to_string(),
+            is_up: report.is_up,
+            is_accepting: report.is_accepting,
+            serves_version: report.serves_version,
+            whole_version: report.whole_version,
+            running: report.running,
+            queued: report.queued,
+            pace_milli: (report.pace * MILLI) as u32,
+            briefing_sent_ms: 0,
+            briefing_age_ms: 0,
+            missing_chunks: report.missing_chunks,
+        }
+    }
+
+    /// What an entry host takes from it, which read it at `now_ms` on the
+    /// clock that its briefings tell.
+    pub fn target_report(&self, now_ms: u64) -> TargetReport {
+        let round_trip_ms = match self.briefing_sent_ms {
+            0 => 0,
+            sent_ms => now_ms
+                .saturating_sub(sent_ms)
+                .saturating_sub(self.briefing_age_ms),
+        };
+        TargetReport {
+            is_up: self.is_up,
+            is_accepting: self.is_accepting,
+            serves_version: self.serves_version,
+            whole_version: self.whole_version,
+            running: self.running,
+            queued: self.queued,
+            pace: f64::from(self.pace_milli) / MILLI,
+            missing_chunks: self.missing_chunks,
+            round_trip_ms,
+        }
+    }
+}
+
 /// A frame on a connection.
 #[derive(Clone, PartialEq, Message)]
 pub struct FleetFrame {
--- a/crates/raildale-core/src/swarm/sources.rs
+++ b/crates/raildale-core/src/swarm/sources.rs
@@ -132,7 +132,8 @@
             return Source::Origin;
         }
         let turn = key + self.own_place() + failures as usize;
-        if let Some(peer) = self.holder_here(version, turn) {
+        let here = self.of(&self.data_centre);
+        if let Some(peer) = self.holder(here, version, turn) {
             return Source::Peer(peer);
         }
         let owner_here =
@@ -145,20 +146,11 @@
         }
     }
 
+    /// Who is asked if nobody in the own data centre can be.
     fn pick_far(&self, version: u64, key: usize, failures: u32) -> Source {
         let turn = key + failures as usize;
-        let holders: Vec<IpAddr> = self
-            .peers
-            .iter()
-            .filter(|peer| {
-                peer.whole_version == version
-                    && peer.ip != self.own_ip
-                    && !peer.is_slow
-            })
-            .map(|peer| peer.ip)
-            .collect();
-        if !holders.is_empty() {
-            return Source::Peer(holders[turn % holders.len()]);
+        if let Some(peer) = self.holder(self.peers.iter(), version, turn) {
+            return Source::Peer(peer);
         }
         match self.owner_of_all(turn) {
             Some(owner) if owner != self.own_ip => Source::Peer(owner),
@@ -166,9 +158,15 @@
         }
     }
 
-    fn holder_here(&self, version: u64, turn: usize) -> Option<IpAddr> {
-        let holders: Vec<IpAddr> = self
-            .of(&self.data_centre)
+    /// The agent that is asked at its `turn` among those that hold a version
+    /// and are not slow.
+    fn holder<'a>(
+        &self,
+        peers: impl Iterator<Item = &'a Peer>,
+        version: u64,
+        turn: usize,
+    ) -> Option<IpAddr> {
+        let holders: Vec<IpAddr> = peers
             .filter(|peer| {
                 peer.whole_version == version
                     && peer.ip != self.own_ip
@@ -176,10 +174,11 @@
             })
             .map(|peer| peer.ip)
             .collect();
-        let count = holders.len();
-        (count > 0).then(|| holders[turn % count])
+        let place = turn.checked_rem(holders.len())?;
+        Some(holders[place])
     }
 
+    /// The agent of a data centre that brings an item in.
     fn owner(&self, data_centre: &Name, key: usize) -> Option<IpAddr> {
         let able = || self.of(data_centre).filter(|peer| !peer.is_slow);
         let count = able().count();
@@ -187,6 +186,7 @@
         able().nth(place).map(|peer| peer.ip)
     }
 
+    /// The agent that brings an item in from the origin.
     fn owner_of_all(&self, key: usize) -> Option<IpAddr> {
         let mut centres: Vec<&Name> = self
             .peers
@@ -204,6 +204,7 @@
         self.peers.iter().position(|peer| peer.ip == self.own_ip).unwrap_or(0)
     }
 
+    /// The agents of a data centre.
     fn of<'a>(
         &'a self,
         data_centre: &'a Name,
--- a/crates/raildale/src/fleet/agent/reports.rs
+++ b/crates/raildale/src/fleet/agent/reports.rs
@@ -78,18 +78,7 @@
             readers.retain(|_, reader| now - reader.at_ms < FORGET_MS);
             readers.iter().map(|(to, reader)| (*to, *reader)).collect()
         };
-        let mut message = Report {
-            address: self.target.to_string(),
-            is_up: report.is_up,
-            is_accepting: report.is_accepting,
-            serves_version: report.serves_version,
-            whole_version: report.whole_version,
-            running: report.running,
-            queued: report.queued,
-            pace_milli: (report.pace * 1e3) as u32,
-            missing_chunks: report.missing_chunks,
-            ..Report::default()
-        };
+        let mut message = Report::of(self.target, report);
         for (to, reader) in readers {
             message.briefing_sent_ms = reader.sent_ms;
             message.briefing_age_ms = now - reader.at_ms;
--- a/crates/raildale/src/fleet/entry/peers.rs
+++ b/crates/raildale/src/fleet/entry/peers.rs
@@ -10,7 +10,6 @@
     Name,
     catalog::Kind,
     fleet_message::{Hello, Note, Report},
-    gateway::TargetReport,
     members::{Heartbeat, MemberEntry},
 };
 use tokio::net::UdpSocket;
@@ -89,25 +88,10 @@
             return;
         }
     };
-    let round_trip_ms = match report.briefing_sent_ms {
-        0 => 0,
-        sent_ms => now_ms()
-            .saturating_sub(sent_ms)
-            .saturating_sub(report.briefing_age_ms),
-    };
-    let report = TargetReport {
-        is_up: report.is_up,
-        is_accepting: report.is_accepting,
-        serves_version: report.serves_version,
-        whole_version: report.whole_version,
-        running: report.running,
-        queued: report.queued,
-        pace: f64::from(report.pace_milli) / 1e3,
-        missing_chunks: report.missing_chunks,
-        round_trip_ms,
-    };
+    let now = now_ms();
+    let report = report.target_report(now);
     let mut gateway = host.gateway.borrow_mut();
-    gateway.targets.note_report(now_ms(), address, report);
+    gateway.targets.note_report(now, address, report);
 }
 
 async fn send_regularly<P>(host: Rc<EntryHost<P>>, socket: Rc<UdpSocket>)
