--- a/crates/raildale/src/fleet/agent/mod.rs
+++ b/crates/raildale/src/fleet/agent/mod.rs
@@ -1,4 +1,4 @@
-//! The shell of an agent: I/O round [`Swarm`].
+//! The shell of an agent: I/O round [`raildale_core::swarm::Swarm`].
 //!
 //! * [`worker`]: the loop that feeds the reducer and carries out effects.
 //! * [`calls`]: calls of the target and of the origin.
--- a/crates/raildale/src/fleet/entry/mod.rs
+++ b/crates/raildale/src/fleet/entry/mod.rs
@@ -1,5 +1,5 @@
-//! The shell of an entry host: I/O round [`Gateway`], [`Members`] and what
-//! is known of the store.
+//! The shell of an entry host: I/O round [`raildale_core::gateway::Gateway`],
+//! [`raildale_core::members::Members`] and what is known of the store.
 //!
 //! * [`callers`]: the ports that callers use.
 //! * [`proxy`]: one request from its head to its answer.
