--- a/crates/raildale-core/src/swarm/sources.rs
+++ b/crates/raildale-core/src/swarm/sources.rs
@@ -46,6 +46,10 @@
 /// Tries at one source before the next one is asked.
 pub const TRIES_PER_SOURCE: u32 = 2;
 
+/// Agents that a question passes at most before the origin is asked: the
+/// data centre's owner, and the owner of all.
+const MOST_HOPS: u32 = 2;
+
 /// The live agents, as one of them sees them.
 #[derive(Debug)]
 pub struct Sources {
@@ -54,10 +58,6 @@
     peers: Vec<Peer>,
 }
 
-/// Agents that a question passes at most before the origin is asked: the
-/// data centre's owner, and the owner of all.
-pub const MOST_HOPS: u32 = 2;
-
 impl Sources {
     /// An agent that knows of no other.
     pub fn new(own_ip: IpAddr, data_centre: Name) -> Sources {
@@ -81,11 +81,6 @@
         self.peers = peers;
     }
 
-    /// Whether any other agent is known.
-    pub fn is_alone(&self) -> bool {
-        self.peers.len() < 2
-    }
-
     /// The place of this agent among all, and their count. Neighbours in the
     /// order stand in different data centres, so that no data centre changes
     /// over at once.
@@ -137,7 +132,8 @@
             return Source::Origin;
         }
         let turn = key + self.own_place() + failures as usize;
-        if let Some(peer) = self.holder_here(version, turn) {
+        let here = self.of(&self.data_centre);
+        if let Some(peer) = self.holder(here, version, turn) {
             return Source::Peer(peer);
         }
         let owner_here =
@@ -150,20 +146,11 @@
         }
     }
 
+    /// Who is asked if nobody in the own data centre can be.
     fn pick_far(&self, version: u64, key: usize, failures: u32) -> Source {
         let turn = key + failures as usize;
-        let holders: Vec<IpAddr> = self
-            .peers
-            .iter()
-            .filter(|peer| {
-                peer.whole_version == version
-                    && peer.ip != self.own_ip
-                    && !peer.is_slow
-            })
-            .map(|peer| peer.ip)
-            .collect();
-        if !holders.is_empty() {
-            return Source::Peer(holders[turn % holders.len()]);
+        if let Some(peer) = self.holder(self.peers.iter(), version, turn) {
+            return Source::Peer(peer);
         }
         match self.owner_of_all(turn) {
             Some(owner) if owner != self.own_ip => Source::Peer(owner),
@@ -171,9 +158,15 @@
         }
     }
 
-    fn holder_here(&self, version: u64, turn: usize) -> Option<IpAddr> {
-        let holders: Vec<IpAddr> = self
-            .of(&self.data_centre)
+    /// The agent that is asked at its `turn` among those that hold a version
+    /// and are not slow.
+    fn holder<'a>(
+        &self,
+        peers: impl Iterator<Item = &'a Peer>,
+        version: u64,
+        turn: usize,
+    ) -> Option<IpAddr> {
+        let holders: Vec<IpAddr> = peers
             .filter(|peer| {
                 peer.whole_version == version
                     && peer.ip != self.own_ip
@@ -181,10 +174,11 @@
             })
             .map(|peer| peer.ip)
             .collect();
-        let count = holders.len();
-        (count > 0).then(|| holders[turn % count])
+        let place = turn.checked_rem(holders.len())?;
+        Some(holders[place])
     }
 
+    /// The agent of a data centre that brings an item in.
     fn owner(&self, data_centre: &Name, key: usize) -> Option<IpAddr> {
         let able = || self.of(data_centre).filter(|peer| !peer.is_slow);
         let count = able().count();
@@ -192,6 +186,7 @@
         able().nth(place).map(|peer| peer.ip)
     }
 
+    /// The agent that brings an item in from the origin.
     fn owner_of_all(&self, key: usize) -> Option<IpAddr> {
         let mut centres: Vec<&Name> = self
             .peers
@@ -209,6 +204,7 @@
         self.peers.iter().position(|peer| peer.ip == self.own_ip).unwrap_or(0)
     }
 
+    /// The agents of a data centre.
     fn of<'a>(
         &'a self,
         data_centre: &'a Name,
--- a/crates/raildale/src/fleet/entry/callers.rs
+++ b/crates/raildale/src/fleet/entry/callers.rs
@@ -49,27 +49,12 @@
     Ok(())
 }
 
-async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, peer)) => {
-                frames::tune(&stream);
-                return (stream, peer);
-            }
-            Err(error) => {
-                log::warn!("accept: {error}");
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-        }
-    }
-}
-
 async fn accept_callers<P>(host: Rc<EntryHost<P>>, listener: TcpListener)
 where
     P: Dialect + Store + 'static,
 {
     loop {
-        let (stream, _) = accept(&listener).await;
+        let (stream, _) = frames::accept(&listener).await;
         tokio::task::spawn_local(serve_caller(host.clone(), stream));
     }
 }
@@ -103,7 +88,6 @@
 where
     P: Dialect + Store + 'static,
 {
-    host.last_request_ms.set(now_ms());
     let progress = Progress::begin(&host);
     let mut response = proxy::answer(host.clone(), request, progress).await;
     if host.is_leaving() {
@@ -147,7 +131,7 @@
     P: Dialect + Store + 'static,
 {
     loop {
-        let (stream, _) = accept(&listener).await;
+        let (stream, _) = frames::accept(&listener).await;
         let host = host.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(|request: Request<Incoming>| {
--- /dev/null
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -0,0 +1,208 @@
+//! What the tasks of an entry host share.
+//!
+//! * [`known_store`]: what is known of the store, by kind.
+//! * `changes`: what the store's changes mean to routing and members.
+
+mod changes;
+pub mod known_store;
+
+use std::{
+    cell::{Cell, RefCell},
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+use raildale_core::{
+    LogEvent, Name,
+    catalog::Kind,
+    gateway::{Gateway, GatewayConfig, retry_budget::RetryBound},
+    members::{MemberEntry, Members},
+};
+
+use self::known_store::KnownStore;
+use super::upstream::Pool;
+use crate::{
+    error::{Error, ErrorKind},
+    fleet::{
+        edge::{Dialect, Store},
+        settings::{FleetFile, ListenSettings, NodeSettings},
+        steady_clock::now_ms,
+    },
+    logs,
+    metrics::Metrics,
+};
+
+/// What the tasks of an entry host share.
+#[derive(Debug)]
+pub struct EntryHost<P> {
+    /// The platform's adapter.
+    pub platform: P,
+    /// Its own settings.
+    pub node: NodeSettings,
+    /// Where callers reach it.
+    pub listen: ListenSettings,
+    /// Requests: beliefs and choices.
+    pub gateway: RefCell<Gateway>,
+    /// The entry hosts.
+    pub members: RefCell<Members>,
+    /// Connections to targets.
+    pub pool: Pool,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Callers' requests in progress.
+    pub in_progress: Cell<usize>,
+    /// Set once it has been told to stop.
+    pub leaving_since_ms: Cell<Option<u64>>,
+    /// How long callers may keep the addresses, in seconds.
+    pub address_ttl_s: f64,
+    /// Wakes whoever tells the agents.
+    pub briefing_due: tokio::sync::Notify,
+    /// What is known of the store.
+    pub known: KnownStore,
+    /// Since when the store has not answered.
+    store_down_ms: Cell<Option<u64>>,
+    /// When the store last answered again; 0 if it was never away.
+    store_back_ms: Cell<u64>,
+    /// From the signal to stop until the process is killed.
+    grace_ms: u64,
+    name: Name,
+}
+
+/// How long callers keep the addresses, in seconds: short, so that one that
+/// dies is left out soon.
+const ADDRESS_TTL_S: f64 = 2.0;
+
+/// Time between two looks at what still runs while leaving.
+const LEAVE_LOOK: Duration = Duration::from_millis(50);
+
+/// What is kept free before the process is killed, in milliseconds.
+const EXIT_MARGIN_MS: u64 = 500;
+
+/// A leaving entry host takes nothing new this long before it is killed, in
+/// milliseconds: most streams end within it.
+const LAST_CALL_MS: u64 = 4_500;
+
+/// A leaving entry host stays at least this long, in milliseconds: callers
+/// keep the addresses for a while.
+const LEAVE_LEAST_MS: u64 = 4_500;
+
+impl<P: Dialect + Store + 'static> EntryHost<P> {
+    /// An entry host that knows nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Config`] if the settings lack where callers reach it.
+    pub fn new(file: &FleetFile, platform: P) -> Result<EntryHost<P>, Error> {
+        let listen = file.listen.clone().ok_or_else(|| {
+            Error::new(ErrorKind::Config, "listen: an entry host needs it")
+        })?;
+        let node = file.node.clone();
+        let data_centre = Name::from(node.data_centre.as_str());
+        let own = MemberEntry {
+            name: Name::from(node.name.as_str()),
+            ip: node.ip,
+            data_centre: data_centre.clone(),
+        };
+        let bounds = &file.bounds;
+        let gateway = Gateway::new(GatewayConfig {
+            data_centre,
+            retries: RetryBound {
+                ratio: bounds.retry_ratio,
+                extra: bounds.retry_extra,
+                window_ms: (bounds.retry_window_s * 1e3) as u64,
+            },
+            version_ms: bounds.version_ms,
+        });
+        Ok(EntryHost {
+            platform,
+            listen,
+            gateway: RefCell::new(gateway),
+            members: RefCell::new(Members::new(own)),
+            pool: Pool::new(),
+            metrics: Metrics::new(),
+            in_progress: Cell::new(0),
+            leaving_since_ms: Cell::new(None),
+            address_ttl_s: ADDRESS_TTL_S.min(bounds.ttl_max_s),
+            briefing_due: tokio::sync::Notify::new(),
+            known: KnownStore::new(),
+            store_down_ms: Cell::new(None),
+            store_back_ms: Cell::new(0),
+            grace_ms: (bounds.grace_s * 1e3) as u64,
+            name: Name::from(node.name.as_str()),
+            node,
+        })
+    }
+
+    /// Writes a numbered event to the log.
+    pub fn log(&self, event: LogEvent, detail: &str) {
+        logs::event(&self.name, event, detail);
+    }
+
+    /// Writes the line of the start.
+    pub fn log_start(&self) {
+        let detail = format!(
+            "role=entry ip={} data_centre={}",
+            self.node.ip, self.node.data_centre
+        );
+        self.log(LogEvent::Started, &detail);
+    }
+
+    /// Writes that the settings file was said to have changed. What it holds
+    /// for a process, its addresses and bounds, only a start takes over.
+    pub fn log_reload(&self) {
+        self.log(LogEvent::Reloaded, "nothing to take over while running");
+    }
+
+    /// Whether it may take callers' requests.
+    pub fn is_ready(&self) -> bool {
+        let knows_targets = self.known.is_known(Kind::Targets);
+        let has_routing = self.gateway.borrow().routing().is_some();
+        knows_targets && has_routing && !self.is_leaving()
+    }
+
+    /// Whether it has been told to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving_since_ms.get().is_some()
+    }
+
+    /// Whether it has been leaving for so long that what comes now might not
+    /// end in time.
+    pub fn is_past_last_call(&self) -> bool {
+        let open_ms = self.grace_ms.saturating_sub(LAST_CALL_MS);
+        self.leaving_since_ms
+            .get()
+            .is_some_and(|since_ms| now_ms() > since_ms + open_ms)
+    }
+
+    /// Where a fleet's callers reach the entry host at `ip`: all of them
+    /// listen on the same port.
+    pub fn callers_address(&self, ip: IpAddr) -> SocketAddr {
+        SocketAddr::new(ip, self.listen.callers.port())
+    }
+
+    /// Leaves: takes no new callers, finishes what runs, and goes.
+    pub async fn leave(self: &Rc<Self>) {
+        let start_ms = now_ms();
+        self.leaving_since_ms.set(Some(start_ms));
+        let running = self.in_progress.get();
+        self.log(LogEvent::Stopping, &format!("in_progress={running}"));
+        self.briefing_due.notify_waiters();
+        let taken = self.platform.delete_member(&self.node.name).await;
+        if let Err(failure) = taken {
+            log::debug!("own entry stays: {failure:?}");
+        }
+        let end_ms = start_ms + self.grace_ms.saturating_sub(EXIT_MARGIN_MS);
+        loop {
+            tokio::time::sleep(LEAVE_LOOK).await;
+            let now = now_ms();
+            let is_quiet = self.in_progress.get() == 0
+                && now > start_ms + LEAVE_LEAST_MS.min(self.grace_ms / 2);
+            if is_quiet || now >= end_ms {
+                break;
+            }
+        }
+        let running = self.in_progress.get();
+        self.log(LogEvent::Stopped, &format!("in_progress={running}"));
+    }
+}
--- a/crates/raildale/src/fleet/entry/peers.rs
+++ b/crates/raildale/src/fleet/entry/peers.rs
@@ -1,9 +1,7 @@
-//! Heartbeats to other entry hosts, briefings to agents, and what comes
-//! back.
+//! Heartbeats to other entry hosts, datagrams to agents, and what comes back.
 
 use std::{
-    collections::BTreeMap,
-    net::{IpAddr, Ipv4Addr, SocketAddr},
+    net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
 };
@@ -11,23 +9,23 @@
 use raildale_core::{
     Name,
     catalog::Kind,
-    fleet_message::{AgentEntry, Briefing, Hello, Named, Note, Report},
-    gateway::{Service, TargetReport},
+    fleet_message::{Hello, Note, Report},
     members::{Heartbeat, MemberEntry},
 };
 use tokio::net::UdpSocket;
 
-use super::{EntryHost, snapshots};
+use super::{EntryHost, briefings, snapshots};
 use crate::{
     error::Error,
     fleet::{
         edge::{Dialect, Store},
-        frames,
+        frames::{self, NoteReceiver},
         steady_clock::now_ms,
     },
 };
 
-/// Time between two heartbeats.
+/// Time between two heartbeats: three of them fit into the silence after
+/// which an entry host counts as gone.
 const HEARTBEAT: Duration = Duration::from_millis(400);
 
 /// Starts sending and receiving.
@@ -50,19 +48,16 @@
 where
     P: Dialect + Store + 'static,
 {
-    let mut buffer = vec![0; frames::MAX_DATAGRAM_BYTES];
+    let mut notes = NoteReceiver::new(socket);
     loop {
-        let (length, from) = match socket.recv_from(&mut buffer).await {
-            Ok(received) => received,
-            Err(error) => {
-                log::debug!("datagram: {error}");
-                continue;
+        match notes.next().await {
+            (Note::Hello(hello), from) => {
+                take_hello(&host, from.ip(), hello);
+            }
+            (Note::Report(report), from) => take_report(&host, from, report),
+            (Note::Briefing(_), from) => {
+                log::debug!("a briefing from {from}, out of place");
             }
-        };
-        match frames::decode_note(&buffer[..length]) {
-            Some(Note::Hello(hello)) => take_hello(&host, from.ip(), hello),
-            Some(Note::Report(report)) => take_report(&host, report),
-            Some(Note::Briefing(_)) | None => {}
         }
     }
 }
@@ -85,27 +80,18 @@
     members.heard(now_ms(), entry, heartbeat);
 }
 
-fn take_report<P>(host: &EntryHost<P>, report: Report) {
-    let Ok(address) = report.address.parse() else { return };
-    let round_trip_ms = match report.briefing_sent_ms {
-        0 => 0,
-        sent_ms => now_ms()
-            .saturating_sub(sent_ms)
-            .saturating_sub(report.briefing_age_ms),
-    };
-    let report = TargetReport {
-        is_up: report.is_up,
-        is_accepting: report.is_accepting,
-        serves_version: report.serves_version,
-        whole_version: report.whole_version,
-        running: report.running,
-        queued: report.queued,
-        pace: f64::from(report.pace_milli) / 1e3,
-        missing_chunks: report.missing_chunks,
-        round_trip_ms,
+fn take_report<P>(host: &EntryHost<P>, from: SocketAddr, report: Report) {
+    let address = match report.address.parse() {
+        Ok(address) => address,
+        Err(error) => {
+            log::warn!("report from {from}: its address: {error}");
+            return;
+        }
     };
+    let now = now_ms();
+    let report = report.target_report(now);
     let mut gateway = host.gateway.borrow_mut();
-    gateway.targets.note_report(now_ms(), address, report);
+    gateway.targets.note_report(now, address, report);
 }
 
 async fn send_regularly<P>(host: Rc<EntryHost<P>>, socket: Rc<UdpSocket>)
@@ -137,7 +123,7 @@
         send(socket, &hello, SocketAddr::new(ip, port)).await;
     }
     let port = host.node.agent_port();
-    for (ip, note) in briefings(host) {
+    for (ip, note) in briefings::all(host) {
         send(socket, &note, SocketAddr::new(ip, port)).await;
     }
     let alive = host.members.borrow().alive_count(now_ms());
@@ -161,7 +147,7 @@
         is_ready: host.is_ready(),
         revisions: Kind::ALL
             .into_iter()
-            .map(|kind| host.changed_revision(kind))
+            .map(|kind| host.known.changed_revision(kind))
             .collect(),
     }
 }
@@ -172,114 +158,10 @@
     P: Dialect + Store + 'static,
 {
     for kind in [Kind::Configuration, Kind::Targets, Kind::Versions] {
-        let own = host.changed_revision(kind);
+        let own = host.known.changed_revision(kind);
         let ahead = host.members.borrow_mut().ahead(now_ms(), kind, own);
         if let Some(ip) = ahead {
             tokio::task::spawn_local(snapshots::ask(host.clone(), ip, kind));
         }
     }
 }
-
-/// A briefing for each agent of a service whose weights are spread.
-fn briefings<P>(host: &EntryHost<P>) -> Vec<(IpAddr, Vec<u8>)>
-where
-    P: Dialect + Store + 'static,
-{
-    let Some(routing) = host.gateway.borrow().routing().cloned() else {
-        return Vec::new();
-    };
-    routing
-        .services()
-        .filter(|service| {
-            service.engine.as_ref().is_some_and(|e| e.chunk_count > 0)
-        })
-        .flat_map(|service| {
-            let terms = Briefing {
-                chunk_count: service
-                    .engine
-                    .as_ref()
-                    .map_or(0, |engine| engine.chunk_count),
-                may_cut: routing.is_resumable(&service.name),
-                origin_connections: routing.origin_connections(),
-                ..Briefing::default()
-            };
-            service_briefings(host, service, terms)
-        })
-        .collect()
-}
-
-fn service_briefings<P>(
-    host: &EntryHost<P>,
-    service: &Service,
-    terms: Briefing,
-) -> Vec<(IpAddr, Vec<u8>)> {
-    let (agents, centres) = agents(host, service);
-    let versions = named(host, service);
-    let short = Briefing { versions, sent_ms: now_ms(), ..terms };
-    let own_centre = &host.node.data_centre;
-    let own_place = centres.iter().position(|c| c == own_centre);
-    let full = Briefing {
-        agents: agents.clone(),
-        data_centres: centres,
-        ..short.clone()
-    };
-    let short = frames::encode_note(Note::Briefing(short));
-    let full = frames::encode_note(Note::Briefing(full));
-    agents
-        .iter()
-        .map(|agent| {
-            let is_near = Some(agent.data_centre as usize) == own_place;
-            // The list goes to the agents next door only: bytes that cross
-            // are dear, and each data centre has its entry hosts.
-            let note = if is_near { full.clone() } else { short.clone() };
-            (IpAddr::V4(Ipv4Addr::from(agent.ip)), note)
-        })
-        .collect()
-}
-
-fn named<P>(host: &EntryHost<P>, service: &Service) -> Vec<Named> {
-    let now = now_ms();
-    let models = service.engine.as_ref().map_or(&[][..], |e| &e.models);
-    let gateway = host.gateway.borrow();
-    gateway
-        .versions()
-        .filter(|(model, _)| models.contains(model))
-        .flat_map(|(_, versions)| versions)
-        .map(|v| Named {
-            version: v.version,
-            age_ms: now.saturating_sub(v.named_ms),
-        })
-        .collect()
-}
-
-fn agents<P>(
-    host: &EntryHost<P>,
-    service: &Service,
-) -> (Vec<AgentEntry>, Vec<String>) {
-    let now = now_ms();
-    let gateway = host.gateway.borrow();
-    let mut centres: BTreeMap<Name, u32> = BTreeMap::new();
-    let mut entries = Vec::new();
-    for target in gateway.targets.iter() {
-        let spec = &target.spec;
-        let IpAddr::V4(ip) = spec.address.ip() else { continue };
-        if spec.service != service.name || spec.is_draining {
-            continue;
-        }
-        let count = centres.len() as u32;
-        let place = *centres.entry(spec.data_centre.clone()).or_insert(count);
-        let report = target.report(now);
-        entries.push(AgentEntry {
-            ip: u32::from(ip),
-            data_centre: place,
-            whole_version: report.map_or(0, |r| r.whole_version),
-            serves_version: target.serves_version(now).unwrap_or(0),
-            is_slow: target.is_slow(now),
-        });
-    }
-    let mut names = vec![String::new(); centres.len()];
-    for (name, place) in centres {
-        names[place as usize] = name.to_string();
-    }
-    (entries, names)
-}
