--- a/crates/raildale-core/src/fleet_message.rs
+++ b/crates/raildale-core/src/fleet_message.rs
@@ -180,6 +180,10 @@
                 .saturating_sub(sent_ms)
                 .saturating_sub(self.briefing_age_ms),
         };
+        // A full link drops datagrams: a briefing that is overdue at the
+        // agent says as much of the way as one that took long.
+        let overdue_ms = self.briefing_age_ms.saturating_sub(OVERDUE_AFTER_MS);
+        let round_trip_ms = round_trip_ms.max(overdue_ms);
         TargetReport {
             is_up: self.is_up,
             is_accepting: self.is_accepting,
@@ -194,6 +198,10 @@
     }
 }
 
+/// Age from which a briefing is overdue at an agent, in milliseconds: they
+/// leave every 400 ms, and some later.
+const OVERDUE_AFTER_MS: u64 = 520;
+
 /// A frame on a connection.
 #[derive(Clone, PartialEq, Message)]
 pub struct FleetFrame {
