Lines for entry hosts and agents that come up or go silent; two waits mended

An agent that knew no model when it was to stage stayed draining for good; a briefing that fell due while others were sent waited 400 ms more. Both were found by reading the tidied code.

--- a/crates/raildale-core/src/members.rs
+++ b/crates/raildale-core/src/members.rs
@@ -36,6 +36,8 @@
     known_ms: u64,
     /// Its last heartbeat.
     heard: Option<Heard>,
+    /// Whether it was up when changes were last asked for.
+    is_told_up: bool,
 }
 
 /// A heartbeat that came.
@@ -102,6 +104,7 @@
             entry: entry.clone(),
             known_ms: now_ms,
             heard: None,
+            is_told_up: false,
         });
         known.entry = entry;
     }
@@ -138,6 +141,19 @@
             .collect()
     }
 
+    /// Others that came up (true) or went silent since this was last asked.
+    pub fn changes(&mut self, now_ms: u64) -> Vec<(IpAddr, bool)> {
+        self.others
+            .iter_mut()
+            .filter_map(|(ip, member)| {
+                let is_up = is_heard(member, now_ms);
+                let is_news = is_up != member.is_told_up;
+                member.is_told_up = is_up;
+                is_news.then_some((*ip, is_up))
+            })
+            .collect()
+    }
+
     /// Entry hosts that are alive, this one among them.
     pub fn alive_count(&self, now_ms: u64) -> usize {
         1 + self.others.values().filter(|m| is_alive(m, now_ms)).count()
--- a/crates/raildale-core/tests/members.rs
+++ b/crates/raildale-core/tests/members.rs
@@ -86,3 +86,13 @@
     assert_eq!(asked, Some(entry("b", 4).ip));
     assert_eq!(members.ahead(START_MS + 301, kind, 9), None);
 }
+
+#[test]
+fn one_that_falls_silent_is_told_once() {
+    let mut members = members();
+    assert_eq!(members.changes(START_MS).len(), 5, "all came up");
+    let later_ms = START_MS + SILENT_MS + 1;
+    members.heard(later_ms, entry("a", 2), ready());
+    assert_eq!(members.changes(later_ms).len(), 4, "all others fell silent");
+    assert_eq!(members.changes(later_ms), vec![]);
+}
--- a/crates/raildale/src/fleet/agent/worker.rs
+++ b/crates/raildale/src/fleet/agent/worker.rs
@@ -193,8 +193,9 @@
                 }
             }
             Effect::Stage { version, chunks } => {
-                if let Some(model) = self.known_model("stage chunks") {
-                    self.calls.stage(model, version, chunks);
+                match self.known_model("stage chunks") {
+                    Some(model) => self.calls.stage(model, version, chunks),
+                    None => self.refuse_staging(version),
                 }
             }
             Effect::Order { version, method } => self.order(version, method),
@@ -228,6 +229,13 @@
         }
     }
 
+    /// Tells the reducer that nothing was staged, so that it tries again.
+    fn refuse_staging(&self, version: u64) {
+        let is_done = false;
+        // The loop that takes events ends with the process only.
+        let _ = self.events.send(Event::Staged { version, is_done });
+    }
+
     /// The target's model; a log line if the store has not told it yet.
     fn known_model(&self, purpose: &str) -> Option<Name> {
         let model = self.store.model();
--- a/crates/raildale/src/fleet/entry/host/changes.rs
+++ b/crates/raildale/src/fleet/entry/host/changes.rs
@@ -164,7 +164,7 @@
             self.gateway.borrow_mut().note_version(named.model, version);
         if is_new {
             self.log(LogEvent::VersionNamed, &detail);
-            self.briefing_due.notify_waiters();
+            self.briefing_due.notify_one();
         }
     }
 
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -187,7 +187,7 @@
         self.leaving_since_ms.set(Some(start_ms));
         let running = self.in_progress.get();
         self.log(LogEvent::Stopping, &format!("in_progress={running}"));
-        self.briefing_due.notify_waiters();
+        self.briefing_due.notify_one();
         let taken = self.platform.delete_member(&self.node.name).await;
         if let Err(failure) = taken {
             log::debug!("own entry stays: {failure:?}");
--- a/crates/raildale/src/fleet/entry/peers.rs
+++ b/crates/raildale/src/fleet/entry/peers.rs
@@ -7,7 +7,7 @@
 };
 
 use raildale_core::{
-    Name,
+    LogEvent, Name,
     catalog::Kind,
     fleet_message::{Hello, Note, Report},
     members::{Heartbeat, MemberEntry},
@@ -102,12 +102,33 @@
         send_all(&host, &socket).await;
         catch_up(&host);
         host.sweep();
+        log_changes(&host);
         let due = host.briefing_due.notified();
         // Woken early when there is something that agents must know.
         let _ = tokio::time::timeout(HEARTBEAT, due).await;
     }
 }
 
+/// One line for each entry host and agent that came up or went silent.
+fn log_changes<P>(host: &EntryHost<P>)
+where
+    P: Dialect + Store + 'static,
+{
+    let now = now_ms();
+    let members = host.members.borrow_mut().changes(now);
+    for (ip, is_up) in members {
+        let event =
+            if is_up { LogEvent::MemberUp } else { LogEvent::MemberDown };
+        host.log(event, &format!("ip={ip}"));
+    }
+    let agents = host.gateway.borrow_mut().targets.agent_changes(now);
+    for (target, is_up) in agents {
+        let event =
+            if is_up { LogEvent::AgentUp } else { LogEvent::AgentDown };
+        host.log(event, &format!("target={target}"));
+    }
+}
+
 async fn send_all<P>(host: &Rc<EntryHost<P>>, socket: &UdpSocket)
 where
     P: Dialect + Store + 'static,
