--- a/crates/raildale-core/src/gateway/targets.rs
+++ b/crates/raildale-core/src/gateway/targets.rs
@@ -47,9 +47,9 @@
     pub left_ms: u64,
 }
 
-/// Nothing is sent to an older version this long before its bound: a request
-/// may wait in its target's queue before it starts.
-const SEND_MARGIN_MS: u64 = 1_500;
+/// Nothing is sent to an older version this long before its bound: on a
+/// squeezed link requests began up to 2.2 s after they were sent.
+const SEND_MARGIN_MS: u64 = 2_500;
 
 /// From this long before a version's bound an older target gets requests by
 /// a quick way only, in milliseconds: on a squeezed link they took 1.8 s.
--- a/crates/raildale-core/src/swarm/swap.rs
+++ b/crates/raildale-core/src/swarm/swap.rs
@@ -41,7 +41,7 @@
             fill_ms: 2_400,
             drain_ms: 600,
             renew_ms: 5_200,
-            margin_ms: 1_000,
+            margin_ms: 1_700,
         }
     }
 }
