A body over the limit is read to its end before it is refused

Cause: the server answered 413 after the limit and closed while its caller was still sending; the kernel resets such a connection, and the answer, or what the caller sent next on the kept connection, was lost. That was the known red bad_input_is_refused_by_number (its case 'large').

--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -23,9 +23,12 @@
     stream_body,
     upstream::{Connection, SendFailure},
 };
-use crate::fleet::{
-    edge::{Dialect, SendTerms, Store},
-    steady_clock::now_ms,
+use crate::{
+    fleet::{
+        edge::{Dialect, SendTerms, Store},
+        steady_clock::now_ms,
+    },
+    request_body,
 };
 
 /// The body of an answer to a caller.
@@ -185,14 +188,9 @@
         .map(|routing| routing.limits)
         .unwrap_or_default()
         .max_body_bytes;
-    let reading = Limited::new(body, most).collect();
+    let reading = request_body::read(body, most);
     match tokio::time::timeout(BODY_TIMEOUT, reading).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) => match error.is::<http_body_util::LengthLimitError>()
-        {
-            true => Err(Code::TooLarge),
-            false => Err(Code::Malformed),
-        },
+        Ok(result) => result,
         Err(_) => Err(Code::BodyLate),
     }
 }
--- a/crates/raildale/src/http_api/mod.rs
+++ b/crates/raildale/src/http_api/mod.rs
@@ -21,7 +21,6 @@
     router::{Router, build_router},
     state::State,
 };
-use http_body_util::{BodyExt, Limited};
 use raildale_core::{Code, Digest, entry::Event};
 use serde::Deserialize;
 use tokio::{
@@ -35,6 +34,7 @@
     metrics::Metrics,
     metrics_page,
     platform::Platform,
+    request_body,
     status::Status,
 };
 
@@ -198,12 +198,6 @@
 
 async fn body_of(state: &mut State) -> Result<Vec<u8>, Code> {
     let body = Body::take_from(state);
-    let limited = Limited::new(body, MAX_BODY_BYTES).collect().await;
-    match limited {
-        Ok(whole) => Ok(whole.to_bytes().to_vec()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(Code::TooLarge)
-        }
-        Err(_) => Err(Code::Malformed),
-    }
+    let whole = request_body::read(body, MAX_BODY_BYTES).await?;
+    Ok(whole.to_vec())
 }
--- a/crates/raildale/src/lib.rs
+++ b/crates/raildale/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod origin;
 pub mod pacer;
 pub mod platform;
+pub mod request_body;
 pub mod settings_text;
 pub mod settings_watch;
 pub mod settings_write;
