An agent needs no store while entry hosts brief it

Each of 100 agents read the whole configuration (big_config: 1,600 routes more), versions and targets from the store at its start, one after the other and in its only loop; each call timed out after 1.5 s, so that for 9 s an agent neither knew the model and the origin nor answered other agents. Ruled out: the origin (nobody asked it until 43 s), entry hosts (all had the configuration 1 s after their start). Change: briefings carry the model and the origin; the store is asked only without a list of agents for 1.5 to 2.2 s, beside the loop; no transfer begins before a list has come; a data centre without a live entry host gets its list from elsewhere; a target that is new is briefed at once.

--- a/crates/raildale-core/src/fleet_message.rs
+++ b/crates/raildale-core/src/fleet_message.rs
@@ -77,6 +77,12 @@
     /// The sender's clock, for the report to send back.
     #[prost(uint64, tag = "7")]
     pub sent_ms: u64,
+    /// The model that the service's targets load.
+    #[prost(string, tag = "8")]
+    pub model: String,
+    /// Where the origin of weights listens; empty if there is none.
+    #[prost(string, tag = "9")]
+    pub origin: String,
 }
 
 /// A version and how long ago it was named.
--- a/crates/raildale-core/src/gateway/routes.rs
+++ b/crates/raildale-core/src/gateway/routes.rs
@@ -257,6 +257,11 @@
         self.routes.values().flatten()
     }
 
+    /// Where the origin of weights listens.
+    pub fn origin(&self) -> Option<SocketAddr> {
+        self.services().find_map(|service| service.origin)
+    }
+
     /// Connections that the origins of weights accept together.
     pub fn origin_connections(&self) -> u32 {
         self.services()
--- a/crates/raildale-core/src/members.rs
+++ b/crates/raildale-core/src/members.rs
@@ -159,6 +159,16 @@
         1 + self.others.values().filter(|m| is_alive(m, now_ms)).count()
     }
 
+    /// Whether no entry host that is alive stands nearer to a data centre
+    /// than this one does: in it, or as far away while it has none.
+    pub fn is_nearest(&self, now_ms: u64, data_centre: &str) -> bool {
+        let stands_there =
+            |entry: &MemberEntry| *entry.data_centre == *data_centre;
+        let others = self.others.values();
+        let mut alive = others.filter(|member| is_alive(member, now_ms));
+        stands_there(&self.own) || !alive.any(|m| stands_there(&m.entry))
+    }
+
     /// The addresses for callers in a data centre: those there, and as many
     /// of others that each data centre's callers share about the same number
     /// of entry hosts. `draw` rotates the others, so that they share evenly.
--- a/crates/raildale-core/src/swarm/reducer/mod.rs
+++ b/crates/raildale-core/src/swarm/reducer/mod.rs
@@ -205,7 +205,9 @@
     }
 
     fn go_on(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
-        if self.chunk_count == 0 {
+        // An agent that knows of no other would take everything from the
+        // origin.
+        if self.chunk_count == 0 || !self.sources.is_known() {
             return;
         }
         self.read_own_staging(effects);
--- a/crates/raildale-core/src/swarm/sources.rs
+++ b/crates/raildale-core/src/swarm/sources.rs
@@ -64,6 +64,11 @@
         Sources { own_ip, data_centre, peers: Vec::new() }
     }
 
+    /// Whether a list of live agents has come.
+    pub fn is_known(&self) -> bool {
+        !self.peers.is_empty()
+    }
+
     /// Takes over the list of live agents; the own entry is added if it is
     /// missing.
     pub fn set_peers(&mut self, mut peers: Vec<Peer>) {
--- a/crates/raildale-core/tests/members.rs
+++ b/crates/raildale-core/tests/members.rs
@@ -96,3 +96,13 @@
     assert_eq!(members.changes(later_ms).len(), 4, "all others fell silent");
     assert_eq!(members.changes(later_ms), vec![]);
 }
+
+#[test]
+fn a_data_centre_without_entry_hosts_is_looked_after_from_elsewhere() {
+    let members = members();
+    let later_ms = START_MS + SILENT_MS + 1;
+    assert!(members.is_nearest(START_MS, "a"), "the own one");
+    assert!(!members.is_nearest(START_MS, "c"), "one is alive there");
+    assert!(members.is_nearest(later_ms, "c"), "none is alive any more");
+    assert!(members.is_nearest(START_MS, "d"), "there never was one");
+}
--- a/crates/raildale-core/tests/swarm_runs.rs
+++ b/crates/raildale-core/tests/swarm_runs.rs
@@ -452,6 +452,15 @@
         origin_connections: 48,
     };
     swarm.reduce(START_MS, layout, &mut effects);
+    assert_eq!(effects, [], "nothing begins before the agents are known");
+    let peer = Peer {
+        ip: ip(1),
+        data_centre: centre(1),
+        whole_version: 0,
+        serves_version: 0,
+        is_slow: false,
+    };
+    swarm.reduce(START_MS, Event::Peers(vec![peer]), &mut effects);
     let asks_manifest = effects.iter().any(|effect| {
         matches!(effect, Effect::Fetch { item: Item::Manifest, .. })
     });
--- a/crates/raildale/src/fleet/agent/mod.rs
+++ b/crates/raildale/src/fleet/agent/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! * [`worker`]: the loop that feeds the reducer and carries out effects.
 //! * [`calls`]: calls of the target and of the origin.
-//! * [`store_facts`]: what the store is asked for.
+//! * [`service_facts`]: what is known of the target's service.
+//! * [`store_facts`]: what the store is asked for while nobody briefs.
 //! * [`links`]: connections to other agents.
 //! * [`server`]: what other agents ask of this one.
 //! * [`reports`]: what the entry hosts are told, and what they tell.
@@ -11,6 +12,7 @@
 pub mod links;
 pub mod reports;
 pub mod server;
+pub mod service_facts;
 pub mod store_facts;
 pub mod worker;
 
--- a/crates/raildale/src/fleet/agent/reports.rs
+++ b/crates/raildale/src/fleet/agent/reports.rs
@@ -1,7 +1,7 @@
 //! What the entry hosts are told of the target, and what they tell.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     rc::Rc,
@@ -15,6 +15,7 @@
 };
 use tokio::{net::UdpSocket, sync::mpsc};
 
+use super::service_facts::ServiceFacts;
 use crate::fleet::{
     frames::{self, NoteReceiver},
     steady_clock::now_ms,
@@ -30,6 +31,9 @@
     socket: Rc<UdpSocket>,
     target: SocketAddr,
     readers: Rc<RefCell<HashMap<SocketAddr, Reader>>>,
+    facts: Rc<ServiceFacts>,
+    /// When the last briefing with a list of agents came.
+    listed_ms: Rc<Cell<u64>>,
 }
 
 /// An entry host's last briefing.
@@ -42,15 +46,26 @@
 }
 
 impl Reports {
-    /// Reports of a target, to whoever briefs.
-    pub fn new(socket: UdpSocket, target: SocketAddr) -> Reports {
-        Reports { socket: Rc::new(socket), target, readers: Rc::default() }
+    /// Reports of a target, to whoever briefs; what briefings tell of its
+    /// service goes to `facts`.
+    pub fn new(
+        socket: UdpSocket,
+        target: SocketAddr,
+        facts: Rc<ServiceFacts>,
+    ) -> Reports {
+        Reports {
+            socket: Rc::new(socket),
+            target,
+            readers: Rc::default(),
+            facts,
+            listed_ms: Rc::new(Cell::new(now_ms())),
+        }
     }
 
-    /// When the last briefing came; 0 if none has.
-    pub fn last_briefing_ms(&self) -> u64 {
-        let readers = self.readers.borrow();
-        readers.values().map(|reader| reader.at_ms).max().unwrap_or(0)
+    /// When the last briefing with a list of agents came; the start of the
+    /// process if none has.
+    pub fn last_list_ms(&self) -> u64 {
+        self.listed_ms.get()
     }
 
     /// Takes briefings for as long as the process runs.
@@ -62,6 +77,10 @@
                 let sent_ms = briefing.sent_ms;
                 let reader = Reader { at_ms: now_ms(), sent_ms };
                 self.readers.borrow_mut().insert(from, reader);
+                self.facts.note_briefing(&briefing);
+                if !briefing.agents.is_empty() {
+                    self.listed_ms.set(now_ms());
+                }
                 for event in briefed(briefing) {
                     // The loop that takes events ends with the process only.
                     let _ = events.send(event);
@@ -92,11 +111,7 @@
 
 fn briefed(briefing: Briefing) -> Vec<Event> {
     let now = now_ms();
-    let mut events = vec![Event::Layout {
-        chunk_count: briefing.chunk_count,
-        may_cut: briefing.may_cut,
-        origin_connections: briefing.origin_connections,
-    }];
+    let mut events = Vec::new();
     let centres: Vec<Name> =
         briefing.data_centres.into_iter().map(Name::from).collect();
     let peers: Vec<Peer> = briefing
@@ -119,5 +134,10 @@
         version: named.version,
         named_ms: now.saturating_sub(named.age_ms),
     }));
+    events.push(Event::Layout {
+        chunk_count: briefing.chunk_count,
+        may_cut: briefing.may_cut,
+        origin_connections: briefing.origin_connections,
+    });
     events
 }
--- a/crates/raildale/src/fleet/agent/store_facts.rs
+++ b/crates/raildale/src/fleet/agent/store_facts.rs
@@ -1,72 +1,93 @@
-//! What an agent asks the store for: the model and the origin, which only
-//! the store tells, and at the start what briefings tell later.
+//! What an agent asks the store for when no entry host tells it.
+//!
+//! Entry hosts brief every agent in the list of targets, so that an agent
+//! needs the store only while none does. After a loss of power all machines
+//! of a fleet start at once; were each agent to read the configuration then,
+//! the store and the agents' links would be busy with that for seconds.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{cell::Cell, rc::Rc};
 
 use raildale_core::{
-    Name,
     catalog::{Kind, Snapshot},
     swarm::{Event, Peer},
 };
+use tokio::sync::mpsc;
 
+use super::service_facts::ServiceFacts;
 use crate::fleet::{
     edge::{Dialect, Store},
     steady_clock::now_ms,
 };
 
-/// Time between two rounds of questions to the store, in milliseconds: calls
-/// of the store are dear.
-const STORE_PAUSE_MS: u64 = 2_000;
+/// Time from the end of a round of questions to the next, in milliseconds:
+/// calls of the store are dear.
+const ROUND_PAUSE_MS: u64 = 2_000;
 
-/// What the store told of the service of an agent's target.
+/// The questions of an agent to the store.
 #[derive(Debug)]
 pub struct StoreFacts<P> {
     platform: Rc<P>,
     service: String,
-    model: Option<Name>,
-    origin: Option<SocketAddr>,
-    asked_ms: u64,
+    facts: Rc<ServiceFacts>,
+    events: mpsc::UnboundedSender<Event>,
+    is_asking: Cell<bool>,
+    asked_ms: Cell<u64>,
 }
 
-impl<P: Dialect + Store> StoreFacts<P> {
-    /// Nothing told yet of `service`.
-    pub fn new(platform: Rc<P>, service: String) -> StoreFacts<P> {
+impl<P: Dialect + Store + 'static> StoreFacts<P> {
+    /// Questions about `service`, whose answers go to `facts` and `events`.
+    pub fn new(
+        platform: Rc<P>,
+        service: String,
+        facts: Rc<ServiceFacts>,
+        events: mpsc::UnboundedSender<Event>,
+    ) -> StoreFacts<P> {
         StoreFacts {
             platform,
             service,
-            model: None,
-            origin: None,
-            asked_ms: 0,
+            facts,
+            events,
+            is_asking: Cell::new(false),
+            asked_ms: Cell::new(0),
         }
     }
 
-    /// The model that the target loads.
-    pub fn model(&self) -> Option<Name> {
-        self.model.clone()
-    }
-
-    /// Where the origin of weights listens.
-    pub fn origin(&self) -> Option<SocketAddr> {
-        self.origin
-    }
-
-    /// Whether both the model and the origin are known.
-    pub fn is_complete(&self) -> bool {
-        self.model.is_some() && self.origin.is_some()
+    /// Starts a round of questions, unless one runs or ended just now. The
+    /// answers may take seconds: nobody waits for them.
+    pub fn ask(self: &Rc<Self>) {
+        let is_due = now_ms() > self.asked_ms.get() + ROUND_PAUSE_MS;
+        if self.is_asking.get() || !is_due {
+            return;
+        }
+        self.is_asking.set(true);
+        let asking = self.clone();
+        tokio::task::spawn_local(async move {
+            asking.ask_all().await;
+            asking.asked_ms.set(now_ms());
+            asking.is_asking.set(false);
+        });
     }
 
-    /// Whether the store may be asked again.
-    pub fn may_ask(&self, now_ms: u64) -> bool {
-        now_ms > self.asked_ms + STORE_PAUSE_MS
+    async fn ask_all(&self) {
+        let layout = self.ask_layout().await;
+        for event in self.ask_versions().await {
+            self.tell(event);
+        }
+        if let Some(peers) = self.ask_peers().await {
+            self.tell(peers);
+        }
+        if let Some(layout) = layout {
+            self.tell(layout);
+        }
     }
 
-    /// Notes that a round of questions begins.
-    pub fn begin_round(&mut self) {
-        self.asked_ms = now_ms();
+    fn tell(&self, event: Event) {
+        // The loop that takes events ends with the process only.
+        let _ = self.events.send(event);
     }
 
     /// Asks for the configuration; tells how weights are spread.
-    pub async fn ask_layout(&mut self) -> Option<Event> {
+    async fn ask_layout(&self) -> Option<Event> {
         let snapshot = self.list(Kind::Configuration).await?;
         let mut layout = None;
         for object in &snapshot.objects {
@@ -77,13 +98,12 @@
                     continue;
                 }
             };
-            self.origin =
-                routing.services().find_map(|service| service.origin);
+            self.facts.note(None, routing.origin());
             let Some(service) = routing.service(&self.service) else {
                 continue;
             };
             let Some(engine) = &service.engine else { continue };
-            self.model = engine.models.first().cloned();
+            self.facts.note(engine.models.first().cloned(), None);
             layout = Some(Event::Layout {
                 chunk_count: engine.chunk_count,
                 may_cut: routing.is_resumable(&service.name),
@@ -94,15 +114,16 @@
     }
 
     /// Asks for the versions of the model that were named.
-    pub async fn ask_versions(&self) -> Vec<Event> {
+    async fn ask_versions(&self) -> Vec<Event> {
         let Some(snapshot) = self.list(Kind::Versions).await else {
             return Vec::new();
         };
         let named_ms = now_ms();
+        let model = self.facts.model();
         let mut events = Vec::new();
         for object in &snapshot.objects {
             match self.platform.named_weights(&object.body) {
-                Ok(named) if Some(&named.model) == self.model.as_ref() => {
+                Ok(named) if Some(&named.model) == model.as_ref() => {
                     let version = named.version;
                     events.push(Event::Named { version, named_ms });
                 }
@@ -114,7 +135,7 @@
     }
 
     /// Asks for the service's targets; tells their agents.
-    pub async fn ask_peers(&self) -> Option<Event> {
+    async fn ask_peers(&self) -> Option<Event> {
         let snapshot = self.list(Kind::Targets).await?;
         let mut peers = Vec::new();
         for object in &snapshot.objects {
--- a/crates/raildale/src/fleet/agent/worker.rs
+++ b/crates/raildale/src/fleet/agent/worker.rs
@@ -19,6 +19,7 @@
     links::{Links, Question},
     reports::Reports,
     server::Server,
+    service_facts::ServiceFacts,
     store_facts::StoreFacts,
 };
 use crate::{
@@ -45,10 +46,14 @@
 /// Time between two looks at the target while weights are on their way.
 const BUSY_LOOK: Duration = Duration::from_millis(50);
 
-/// Without a briefing for this long the store is asked, in milliseconds:
-/// entry hosts brief every 400 ms.
+/// Without a list of agents for this long the store is asked, in
+/// milliseconds: entry hosts brief every 400 ms, and after a loss of power
+/// they know the configuration 0.5 to 0.9 s after their start.
 const UNBRIEFED_MS: u64 = 1_500;
 
+/// What is added to that at random, so that not all agents ask at once.
+const UNBRIEFED_SPREAD_MS: u64 = 700;
+
 type Inbox = mpsc::UnboundedReceiver<Event>;
 
 /// What the loop of an agent holds.
@@ -56,7 +61,9 @@
     platform: Rc<P>,
     name: Name,
     swarm: Swarm,
-    store: StoreFacts<P>,
+    facts: Rc<ServiceFacts>,
+    store: Rc<StoreFacts<P>>,
+    unbriefed_ms: u64,
     calls: WeightCalls<P>,
     links: Links,
     server: Server,
@@ -75,7 +82,6 @@
     P: Dialect + Store + WeightTarget + WeightOrigin + 'static,
 {
     let (mut agent, inbox) = Agent::start(file, platform).await?;
-    agent.ask_store().await;
     agent.run(inbox).await
 }
 
@@ -97,14 +103,24 @@
         let (events, inbox) = mpsc::unbounded_channel();
         let bytes_per_s = (file.link_bytes_per_s() * LINK_SHARE) as u64;
         let server = Server::new(events.clone(), bytes_per_s);
-        let reports = Reports::new(socket, target.address);
+        let facts = Rc::new(ServiceFacts::new());
+        let reports = Reports::new(socket, target.address, facts.clone());
         tokio::task::spawn_local(server.clone().run(listener));
         tokio::task::spawn_local(reports.clone().receive(events.clone()));
         let platform = Rc::new(platform);
+        let store = StoreFacts::new(
+            platform.clone(),
+            target.service,
+            facts.clone(),
+            events.clone(),
+        );
+        let spread_ms = rand::random_range(0..UNBRIEFED_SPREAD_MS);
         let agent = Agent {
             name: Name::from(file.node.name.as_str()),
             swarm: Swarm::new(swarm_config(&file)),
-            store: StoreFacts::new(platform.clone(), target.service),
+            facts,
+            store: Rc::new(store),
+            unbriefed_ms: UNBRIEFED_MS + spread_ms,
             calls: WeightCalls::new(platform.clone(), events.clone()),
             links: Links::new(file.node.agent_port(), events.clone()),
             platform,
@@ -141,28 +157,8 @@
         self.take(Event::Target(state)).await;
         self.take(Event::Tick).await;
         self.reports.send(&self.swarm.report()).await;
-        let now = now_ms();
-        let is_unbriefed =
-            now > self.reports.last_briefing_ms() + UNBRIEFED_MS;
-        let needs_store = is_unbriefed || !self.store.is_complete();
-        if needs_store && self.store.may_ask(now) {
-            self.ask_store().await;
-        }
-    }
-
-    async fn ask_store(&mut self) {
-        self.store.begin_round();
-        let layout = self.store.ask_layout().await;
-        for event in self.store.ask_versions().await {
-            self.take(event).await;
-        }
-        if let Some(peers) = self.store.ask_peers().await {
-            self.take(peers).await;
-        }
-        // Last: transfers begin with it, and an agent that knows of no other
-        // would take everything from the origin.
-        if let Some(layout) = layout {
-            self.take(layout).await;
+        if now_ms() > self.reports.last_list_ms() + self.unbriefed_ms {
+            self.store.ask();
         }
     }
 
@@ -209,7 +205,7 @@
     }
 
     fn ask_origin(&self, version: u64, item: Item) {
-        match (self.store.model(), self.store.origin()) {
+        match (self.facts.model(), self.facts.origin()) {
             (Some(model), Some(origin)) => {
                 self.calls.fetch(origin, model, version, item);
             }
@@ -238,7 +234,7 @@
 
     /// The target's model; a log line if the store has not told it yet.
     fn known_model(&self, purpose: &str) -> Option<Name> {
-        let model = self.store.model();
+        let model = self.facts.model();
         if model.is_none() {
             log::warn!("the target was not asked to {purpose}: no model yet");
         }
--- a/crates/raildale/src/fleet/entry/briefings.rs
+++ b/crates/raildale/src/fleet/entry/briefings.rs
@@ -30,13 +30,16 @@
     routing
         .services()
         .flat_map(|service| {
-            let chunk_count =
-                service.engine.as_ref().map_or(0, |e| e.chunk_count);
-            if chunk_count == 0 {
+            let Some(engine) = &service.engine else { return Vec::new() };
+            if engine.chunk_count == 0 {
                 return Vec::new();
             }
+            let model = engine.models.first();
+            let origin = routing.origin();
             let terms = Briefing {
-                chunk_count,
+                chunk_count: engine.chunk_count,
+                model: model.map(Name::to_string).unwrap_or_default(),
+                origin: origin.map(|at| at.to_string()).unwrap_or_default(),
                 may_cut: routing.is_resumable(&service.name),
                 origin_connections: routing.origin_connections(),
                 ..Briefing::default()
@@ -55,8 +58,10 @@
     let (agents, centres) = agents(host, service);
     let versions = named(host, service);
     let short = Briefing { versions, sent_ms: now_ms(), ..terms };
-    let own_centre = &host.node.data_centre;
-    let own_place = centres.iter().position(|c| c == own_centre);
+    let listed: Vec<bool> = centres
+        .iter()
+        .map(|centre| host.members.borrow().is_nearest(now_ms(), centre))
+        .collect();
     let full = Briefing {
         agents: agents.clone(),
         data_centres: centres,
@@ -67,10 +72,10 @@
     agents
         .iter()
         .map(|agent| {
-            let is_near = Some(agent.data_centre as usize) == own_place;
-            // The list goes to the agents next door only: bytes that cross
-            // are dear, and each data centre has its entry hosts.
-            let note = if is_near { full.clone() } else { short.clone() };
+            // The list goes to the agents next door, and to those of data
+            // centres without a live entry host: bytes that cross are dear.
+            let is_listed = listed[agent.data_centre as usize];
+            let note = if is_listed { full.clone() } else { short.clone() };
             (IpAddr::V4(Ipv4Addr::from(agent.ip)), note)
         })
         .collect()
--- a/crates/raildale/src/fleet/entry/host/changes.rs
+++ b/crates/raildale/src/fleet/entry/host/changes.rs
@@ -128,8 +128,12 @@
             "target={} address={} draining={} version={:?}",
             spec.id, spec.address, spec.is_draining, spec.serves_version
         );
-        self.gateway.borrow_mut().targets.put(spec);
+        let is_new = self.gateway.borrow_mut().targets.put(spec);
         self.log(LogEvent::TargetListed, &detail);
+        if is_new {
+            // Its agent may have just started and waits for a briefing.
+            self.briefing_due.notify_one();
+        }
     }
 
     fn lose_target(&self, name: &Name) {
