An agent asks the seeds for its first briefing

Cause: entry hosts brief the agents of listed targets, and a target lists itself about 0.9 s after its machine starts: newcomers began that much later since agents no longer read the store at once. Change: a new agent asks the seeds of its settings every 200 ms until a briefing with a list comes; the answer lists the asker too.

--- a/crates/raildale-core/src/fleet_message.rs
+++ b/crates/raildale-core/src/fleet_message.rs
@@ -14,7 +14,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Datagram {
     /// What it says.
-    #[prost(oneof = "Note", tags = "1, 2, 3")]
+    #[prost(oneof = "Note", tags = "1, 2, 3, 4")]
     pub note: Option<Note>,
 }
 
@@ -30,6 +30,9 @@
     /// An agent to an entry host.
     #[prost(message, tag = "3")]
     Report(Report),
+    /// An agent that nobody has briefed yet to an entry host.
+    #[prost(message, tag = "4")]
+    AskBriefing(AskBriefing),
 }
 
 /// An entry host's heartbeat.
@@ -85,6 +88,18 @@
     pub origin: String,
 }
 
+/// A question for a briefing: entry hosts brief agents of their own accord
+/// only once the agent's target is listed, about a second after its start.
+#[derive(Clone, PartialEq, Message)]
+pub struct AskBriefing {
+    /// The service of the agent's target.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The data centre that the agent stands in.
+    #[prost(string, tag = "2")]
+    pub data_centre: String,
+}
+
 /// A version and how long ago it was named.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct Named {
--- a/crates/raildale/src/fleet/agent/reports.rs
+++ b/crates/raildale/src/fleet/agent/reports.rs
@@ -5,11 +5,12 @@
     collections::HashMap,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     rc::Rc,
+    time::Duration,
 };
 
 use raildale_core::{
     Name,
-    fleet_message::{Briefing, Note, Report},
+    fleet_message::{AskBriefing, Briefing, Note, Report},
     gateway::TargetReport,
     swarm::{Event, Peer},
 };
@@ -25,6 +26,11 @@
 /// in milliseconds.
 const FORGET_MS: u64 = 4_000;
 
+/// Time between two questions for the first briefing: the way there and back
+/// takes a few milliseconds, and an entry host that starts as well knows the
+/// configuration after half a second.
+const ASK_AGAIN: Duration = Duration::from_millis(200);
+
 /// The entry hosts that want reports.
 #[derive(Clone, Debug)]
 pub struct Reports {
@@ -34,6 +40,8 @@
     facts: Rc<ServiceFacts>,
     /// When the last briefing with a list of agents came.
     listed_ms: Rc<Cell<u64>>,
+    /// Whether such a briefing ever came.
+    is_briefed: Rc<Cell<bool>>,
 }
 
 /// An entry host's last briefing.
@@ -59,6 +67,7 @@
             readers: Rc::default(),
             facts,
             listed_ms: Rc::new(Cell::new(now_ms())),
+            is_briefed: Rc::default(),
         }
     }
 
@@ -68,6 +77,20 @@
         self.listed_ms.get()
     }
 
+    /// Asks the entry hosts at `seeds` for a briefing until one comes: the
+    /// others know of this agent only once its target is listed.
+    pub async fn introduce(self, seeds: Vec<SocketAddr>, ask: AskBriefing) {
+        let note = frames::encode_note(Note::AskBriefing(ask));
+        while !self.is_briefed.get() {
+            for seed in &seeds {
+                if let Err(error) = self.socket.send_to(&note, seed).await {
+                    log::debug!("question to {seed}: {error}");
+                }
+            }
+            tokio::time::sleep(ASK_AGAIN).await;
+        }
+    }
+
     /// Takes briefings for as long as the process runs.
     pub async fn receive(self, events: mpsc::UnboundedSender<Event>) {
         let mut notes = NoteReceiver::new(self.socket.clone());
@@ -80,6 +103,7 @@
                 self.facts.note_briefing(&briefing);
                 if !briefing.agents.is_empty() {
                     self.listed_ms.set(now_ms());
+                    self.is_briefed.set(true);
                 }
                 for event in briefed(briefing) {
                     // The loop that takes events ends with the process only.
--- a/crates/raildale/src/fleet/agent/worker.rs
+++ b/crates/raildale/src/fleet/agent/worker.rs
@@ -4,6 +4,7 @@
 
 use raildale_core::{
     LogEvent, Name,
+    fleet_message::AskBriefing,
     swarm::{
         Effect, Event, Item, LoadMethod, Source, SwapConfig, Swarm,
         SwarmConfig,
@@ -107,6 +108,12 @@
         let reports = Reports::new(socket, target.address, facts.clone());
         tokio::task::spawn_local(server.clone().run(listener));
         tokio::task::spawn_local(reports.clone().receive(events.clone()));
+        let seeds = file.node.seed_entry_hosts().collect();
+        let ask = AskBriefing {
+            service: target.service.clone(),
+            data_centre: file.node.data_centre.clone(),
+        };
+        tokio::task::spawn_local(reports.clone().introduce(seeds, ask));
         let platform = Rc::new(platform);
         let store = StoreFacts::new(
             platform.clone(),
--- a/crates/raildale/src/fleet/entry/briefings.rs
+++ b/crates/raildale/src/fleet/entry/briefings.rs
@@ -7,8 +7,8 @@
 
 use raildale_core::{
     Name,
-    fleet_message::{AgentEntry, Briefing, Named, Note},
-    gateway::Service,
+    fleet_message::{AgentEntry, AskBriefing, Briefing, Named, Note},
+    gateway::{Routing, Service},
 };
 
 use super::EntryHost;
@@ -18,6 +18,50 @@
     steady_clock::now_ms,
 };
 
+/// A briefing with its list, encoded, for the agent at `ip` that asks;
+/// `None` if no configuration tells of its service.
+pub fn one<P>(
+    host: &EntryHost<P>,
+    ip: IpAddr,
+    ask: &AskBriefing,
+) -> Option<Vec<u8>>
+where
+    P: Dialect + Store + 'static,
+{
+    let routing = host.gateway.borrow().routing().cloned()?;
+    let service = routing.service(&ask.service)?;
+    let terms = terms(&routing, service)?;
+    let (mut agents, mut data_centres) = agents(host, service);
+    if let IpAddr::V4(ip) = ip {
+        add_asker(&mut agents, &mut data_centres, u32::from(ip), ask);
+    }
+    let versions = named(host, service);
+    let sent_ms = now_ms();
+    let briefing =
+        Briefing { versions, sent_ms, agents, data_centres, ..terms };
+    Some(frames::encode_note(Note::Briefing(briefing)))
+}
+
+/// Adds the agent that asks, whose target may not be listed yet: a list is
+/// never empty.
+fn add_asker(
+    agents: &mut Vec<AgentEntry>,
+    data_centres: &mut Vec<String>,
+    ip: u32,
+    ask: &AskBriefing,
+) {
+    if agents.iter().any(|agent| agent.ip == ip) {
+        return;
+    }
+    let known = data_centres.iter().position(|c| *c == ask.data_centre);
+    let place = known.unwrap_or_else(|| {
+        data_centres.push(ask.data_centre.clone());
+        data_centres.len() - 1
+    });
+    let data_centre = place as u32;
+    agents.push(AgentEntry { ip, data_centre, ..AgentEntry::default() });
+}
+
 /// A briefing, encoded, for each agent of a service whose weights are
 /// spread, and the agent's address.
 pub fn all<P>(host: &EntryHost<P>) -> Vec<(IpAddr, Vec<u8>)>
@@ -29,26 +73,32 @@
     };
     routing
         .services()
-        .flat_map(|service| {
-            let Some(engine) = &service.engine else { return Vec::new() };
-            if engine.chunk_count == 0 {
-                return Vec::new();
-            }
-            let model = engine.models.first();
-            let origin = routing.origin();
-            let terms = Briefing {
-                chunk_count: engine.chunk_count,
-                model: model.map(Name::to_string).unwrap_or_default(),
-                origin: origin.map(|at| at.to_string()).unwrap_or_default(),
-                may_cut: routing.is_resumable(&service.name),
-                origin_connections: routing.origin_connections(),
-                ..Briefing::default()
-            };
-            service_briefings(host, service, terms)
+        .flat_map(|service| match terms(&routing, service) {
+            Some(terms) => service_briefings(host, service, terms),
+            None => Vec::new(),
         })
         .collect()
 }
 
+/// What every briefing of a service holds; `None` if its weights are not
+/// spread.
+fn terms(routing: &Routing, service: &Service) -> Option<Briefing> {
+    let engine = service.engine.as_ref()?;
+    if engine.chunk_count == 0 {
+        return None;
+    }
+    let model = engine.models.first();
+    let origin = routing.origin();
+    Some(Briefing {
+        chunk_count: engine.chunk_count,
+        model: model.map(Name::to_string).unwrap_or_default(),
+        origin: origin.map(|at| at.to_string()).unwrap_or_default(),
+        may_cut: routing.is_resumable(&service.name),
+        origin_connections: routing.origin_connections(),
+        ..Briefing::default()
+    })
+}
+
 /// The briefings of a service's agents, which all hold its `terms`.
 fn service_briefings<P>(
     host: &EntryHost<P>,
--- a/crates/raildale/src/fleet/entry/peers.rs
+++ b/crates/raildale/src/fleet/entry/peers.rs
@@ -48,13 +48,18 @@
 where
     P: Dialect + Store + 'static,
 {
-    let mut notes = NoteReceiver::new(socket);
+    let mut notes = NoteReceiver::new(socket.clone());
     loop {
         match notes.next().await {
             (Note::Hello(hello), from) => {
                 take_hello(&host, from.ip(), hello);
             }
             (Note::Report(report), from) => take_report(&host, from, report),
+            (Note::AskBriefing(ask), from) => {
+                if let Some(note) = briefings::one(&host, from.ip(), &ask) {
+                    send(&socket, &note, from).await;
+                }
+            }
             (Note::Briefing(_), from) => {
                 log::debug!("a briefing from {from}, out of place");
             }
@@ -135,7 +140,7 @@
 {
     let hello = frames::encode_note(Note::Hello(hello(host)));
     let mut others: Vec<IpAddr> = host.members.borrow().others().collect();
-    let seeds = host.node.seeds.iter().map(SocketAddr::ip);
+    let seeds = host.node.seed_entry_hosts().map(|seed| seed.ip());
     others.extend(seeds.filter(|ip| *ip != host.node.ip));
     others.sort_unstable();
     others.dedup();
--- a/crates/raildale/src/fleet/settings.rs
+++ b/crates/raildale/src/fleet/settings.rs
@@ -181,6 +181,13 @@
         self.ports[0]
     }
 
+    /// Where the seeds listen for datagrams of the fleet: they are told by
+    /// another of their ports.
+    pub fn seed_entry_hosts(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        let port = self.entry_port();
+        self.seeds.iter().map(move |seed| SocketAddr::new(seed.ip(), port))
+    }
+
     /// The port on which agents talk.
     pub fn agent_port(&self) -> u16 {
         self.ports[0] + 1
