A few entry hosts watch the store, the others hear from them

All 42 entry hosts read a configuration of 1,240 more routes at once (one after the other every 70 ms over the links between regions), streams that crossed regions stood still for a second and were given up. Change: two entry hosts of a data centre, the first by address that are heard within 0.9 s and see the store, watch it; heartbeats leave at once on a change; the others ask next door, by chance among those ahead, and objects travel deflated. Deletions count as changes. Who misses a target is told whether it lapsed. One that starts listens for 450 ms first, and asks by itself after 1.2 s. Tried and left: telling when the store came back by heartbeats.

--- a/crates/raildale-core/src/fleet_message.rs
+++ b/crates/raildale-core/src/fleet_message.rs
@@ -54,6 +54,9 @@
     /// the kinds' numbers.
     #[prost(uint64, repeated, tag = "5")]
     pub revisions: Vec<u64>,
+    /// Whether the store answers it, as far as it knows.
+    #[prost(bool, tag = "6")]
+    pub sees_store: bool,
 }
 
 /// What an entry host tells an agent: it also asks for reports.
@@ -299,8 +302,23 @@
     /// The revision of the store.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
+    /// The store's revision of the last change, deletions among them.
+    #[prost(uint64, tag = "3")]
+    pub changed_revision: u64,
+    /// Objects that are missing and may yet come back: their entries lapsed
+    /// while the store was away.
+    #[prost(string, repeated, tag = "4")]
+    pub lapsed: Vec<String>,
+    /// The objects: an [`ObjectList`], deflated.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub packed: bytes::Bytes,
+}
+
+/// The objects of a snapshot.
+#[derive(Clone, PartialEq, Message)]
+pub struct ObjectList {
     /// The objects.
-    #[prost(message, repeated, tag = "3")]
+    #[prost(message, repeated, tag = "1")]
     pub objects: Vec<ObjectEntry>,
 }
 
--- a/crates/raildale-core/src/gateway/targets.rs
+++ b/crates/raildale-core/src/gateway/targets.rs
@@ -83,9 +83,8 @@
         self.senders = senders;
     }
 
-    /// Takes over what the list tells; load and health stay. Says whether
-    /// the target was not known.
-    pub fn put(&mut self, spec: TargetSpec) -> bool {
+    /// Takes over what the list tells; load and health stay.
+    pub fn put(&mut self, spec: TargetSpec) {
         let id = spec.id.clone();
         if let Some(target) = self.by_id.get_mut(&id) {
             target.lapsed_at_ms = None;
@@ -93,7 +92,7 @@
                 || target.spec.service != spec.service;
             if !is_moved {
                 target.spec = spec;
-                return false;
+                return;
             }
             self.remove(&id);
         }
@@ -101,7 +100,6 @@
         let ids = self.by_service.entry(spec.service.clone()).or_default();
         ids.push(id.clone());
         self.by_id.insert(id, Target::new(spec));
-        true
     }
 
     /// Forgets a target that has left.
--- a/crates/raildale-core/src/members.rs
+++ b/crates/raildale-core/src/members.rs
@@ -26,6 +26,8 @@
     pub is_ready: bool,
     /// The store's revision of the last change it knows, by kind.
     pub revisions: Vec<u64>,
+    /// Whether the store answers it, as far as it knows.
+    pub sees_store: bool,
 }
 
 /// What is known of another entry host.
@@ -60,6 +62,16 @@
 /// heartbeats and a bit.
 pub const SILENT_MS: u64 = 1_400;
 
+/// Entry hosts of a data centre that watch the store; the others hear of
+/// changes from them. One may die or lose its way to the store unnoticed for
+/// a moment: a second one covers that.
+pub const WATCHERS: usize = 2;
+
+/// Silence after which another entry host is no longer relied on for
+/// watching the store, in milliseconds: two heartbeats and a bit. Less than
+/// [`SILENT_MS`], since changes must be in force within two seconds.
+const WATCHER_SILENT_MS: u64 = 900;
+
 /// How long one that is listed and not heard yet counts as alive, in
 /// milliseconds: a little longer than the silence that is allowed.
 const GREETING_MS: u64 = 1_500;
@@ -169,6 +181,18 @@
         stands_there(&self.own) || !alive.any(|m| stands_there(&m.entry))
     }
 
+    /// Whether this entry host is to watch the store: it is among the first
+    /// [`WATCHERS`] of its data centre, by address, that are heard and see
+    /// the store.
+    pub fn is_watcher(&self, now_ms: u64) -> bool {
+        let before = self.others.range(..self.own.ip).filter(|(_, member)| {
+            let beat = heartbeat_within(member, now_ms, WATCHER_SILENT_MS);
+            let is_here = member.entry.data_centre == self.own.data_centre;
+            is_here && beat.is_some_and(|b| b.sees_store && !b.is_leaving)
+        });
+        before.count() < WATCHERS
+    }
+
     /// The addresses for callers in a data centre: those there, and as many
     /// of others that each data centre's callers share about the same number
     /// of entry hosts. `draw` rotates the others, so that they share evenly.
@@ -211,32 +235,43 @@
         open
     }
 
-    /// A live entry host that has been ahead of this one in a kind for a
-    /// while, and is to be asked for it.
+    /// A live entry host that is ahead of this one in a kind, and is to be
+    /// asked for it: one next door if there is any, by `draw`, so that not
+    /// all ask the same. One that watches the store itself waits a while
+    /// first.
     pub fn ahead(
         &mut self,
         now_ms: u64,
         kind: Kind,
         own_revision: u64,
+        draw: usize,
     ) -> Option<IpAddr> {
+        let patience_ms = if self.is_watcher(now_ms) { AHEAD_MS } else { 0 };
         let place = kind.number() as usize;
         let revision = |member: &Member| {
             let heard = member.heard.as_ref()?;
             heard.heartbeat.revisions.get(place).copied()
         };
-        let ahead = self
+        let ahead: Vec<&Member> = self
             .others
             .values()
             .filter(|member| is_heard(member, now_ms))
             .filter(|member| revision(member) > Some(own_revision))
-            .max_by_key(|member| revision(member))
-            .map(|member| member.entry.ip);
-        let Some(ip) = ahead else {
+            .collect();
+        let is_here =
+            |m: &&Member| m.entry.data_centre == self.own.data_centre;
+        let mut asked: Vec<&Member> =
+            ahead.iter().copied().filter(is_here).collect();
+        if asked.is_empty() {
+            asked = ahead;
+        }
+        let place = draw.checked_rem(asked.len());
+        let Some(ip) = place.map(|place| asked[place].entry.ip) else {
             self.behind_since_ms.remove(&kind);
             return None;
         };
         let since_ms = *self.behind_since_ms.entry(kind).or_insert(now_ms);
-        let is_due = now_ms.saturating_sub(since_ms) >= AHEAD_MS;
+        let is_due = now_ms.saturating_sub(since_ms) >= patience_ms;
         is_due.then_some(ip)
     }
 }
@@ -274,10 +309,18 @@
 }
 
 fn is_heard(member: &Member, now_ms: u64) -> bool {
-    member
-        .heard
-        .as_ref()
-        .is_some_and(|heard| now_ms.saturating_sub(heard.at_ms) < SILENT_MS)
+    heartbeat_within(member, now_ms, SILENT_MS).is_some()
+}
+
+/// The last heartbeat, if it is younger than `ms`.
+fn heartbeat_within(
+    member: &Member,
+    now_ms: u64,
+    ms: u64,
+) -> Option<&Heartbeat> {
+    let heard = member.heard.as_ref()?;
+    let is_young = now_ms.saturating_sub(heard.at_ms) < ms;
+    is_young.then_some(&heard.heartbeat)
 }
 
 fn is_alive(member: &Member, now_ms: u64) -> bool {
--- a/crates/raildale-core/tests/members.rs
+++ b/crates/raildale-core/tests/members.rs
@@ -78,13 +78,13 @@
     members.heard(START_MS, entry("b", 4), ahead);
     let kind = Kind::Configuration;
     assert_eq!(
-        members.ahead(START_MS, kind, 8),
+        members.ahead(START_MS, kind, 8, 0),
         None,
         "the watch may bring it"
     );
-    let asked = members.ahead(START_MS + 300, kind, 8);
+    let asked = members.ahead(START_MS + 300, kind, 8, 0);
     assert_eq!(asked, Some(entry("b", 4).ip));
-    assert_eq!(members.ahead(START_MS + 301, kind, 9), None);
+    assert_eq!(members.ahead(START_MS + 301, kind, 9, 0), None);
 }
 
 #[test]
@@ -106,3 +106,43 @@
     assert!(members.is_nearest(later_ms, "c"), "none is alive any more");
     assert!(members.is_nearest(START_MS, "d"), "there never was one");
 }
+
+fn seeing() -> Heartbeat {
+    Heartbeat { sees_store: true, ..ready() }
+}
+
+/// The last of four entry hosts in one data centre.
+fn last_of_four(beats: [(u8, Heartbeat); 3]) -> Members {
+    let mut members = Members::new(entry("a", 9));
+    for (last, beat) in beats {
+        members.heard(START_MS, entry("a", last), beat);
+    }
+    members.heard(START_MS, entry("b", 7), seeing());
+    members
+}
+
+#[test]
+fn two_of_a_data_centre_watch_the_store() {
+    let members = last_of_four([(1, seeing()), (2, seeing()), (3, seeing())]);
+    assert!(!members.is_watcher(START_MS), "two before it do");
+    assert!(members.is_watcher(START_MS + 950), "they are silent");
+    let members = last_of_four([(1, seeing()), (2, ready()), (3, ready())]);
+    assert!(members.is_watcher(START_MS), "two were turned away");
+    let leaving = Heartbeat { is_leaving: true, ..seeing() };
+    let members = last_of_four([(1, seeing()), (2, leaving), (3, ready())]);
+    assert!(members.is_watcher(START_MS), "one is leaving");
+    assert!(Members::new(entry("a", 1)).is_watcher(START_MS), "alone");
+}
+
+#[test]
+fn one_that_does_not_watch_asks_next_door_at_once() {
+    let ahead = || Heartbeat { revisions: vec![9], ..seeing() };
+    let mut members =
+        last_of_four([(1, seeing()), (2, ahead()), (3, ahead())]);
+    members.heard(START_MS, entry("b", 7), ahead());
+    let kind = Kind::Configuration;
+    let asked: Vec<_> =
+        (0..4).map(|draw| members.ahead(START_MS, kind, 8, draw)).collect();
+    let near = [2, 3].map(|last| Some(entry("a", last).ip));
+    assert_eq!(asked, [near, near].concat(), "shared among those here");
+}
--- a/crates/raildale/src/fleet/entry/host/changes.rs
+++ b/crates/raildale/src/fleet/entry/host/changes.rs
@@ -4,7 +4,7 @@
 use raildale_core::{
     LogEvent, Name,
     catalog::{Change, Kind, Snapshot, StoredObject},
-    gateway::admission::NamedVersion,
+    gateway::{Target, admission::NamedVersion},
 };
 
 use super::EntryHost;
@@ -20,23 +20,65 @@
 /// long of its return, in milliseconds, as the platform's users tell.
 const LAPSE_MS: u64 = 2_200;
 
+/// Who told of changes.
+#[derive(Debug)]
+enum Teller {
+    /// The store.
+    Store,
+    /// Another entry host.
+    EntryHost {
+        /// Targets that it misses and does not give up yet.
+        lapsed: Vec<Name>,
+    },
+}
+
+impl Teller {
+    /// The word for it in the log.
+    fn word(&self) -> &'static str {
+        match self {
+            Teller::Store => "store",
+            Teller::EntryHost { .. } => "entry host",
+        }
+    }
+}
+
 impl<P: Dialect + Store + 'static> EntryHost<P> {
-    /// Takes over a whole kind.
-    pub fn replace(&self, kind: Kind, snapshot: Snapshot, from: &str) {
-        let changes = self.known.replace(kind, snapshot);
-        self.take_changes(kind, changes, from);
+    /// Takes over a whole kind that the store gave.
+    pub fn replace(&self, kind: Kind, snapshot: Snapshot) {
+        let changes = self.known.replace(kind, snapshot, 0);
+        self.take_changes(kind, changes, &Teller::Store);
     }
 
-    /// Takes over changes of a kind.
-    pub fn apply(
+    /// Takes over a whole kind that another entry host gave, last changed at
+    /// `changed_revision`.
+    pub fn replace_from_peer(
         &self,
         kind: Kind,
-        revision: u64,
-        changes: Vec<Change>,
-        from: &str,
+        snapshot: Snapshot,
+        changed_revision: u64,
+        lapsed: Vec<Name>,
     ) {
+        let changes = self.known.replace(kind, snapshot, changed_revision);
+        self.take_changes(kind, changes, &Teller::EntryHost { lapsed });
+    }
+
+    /// Targets whose entries lapsed and may yet come back.
+    pub fn lapsed(&self) -> Vec<Name> {
+        let gateway = self.gateway.borrow();
+        let lapsed = |target: &&Target| target.lapsed_at_ms.is_some();
+        let targets = gateway.targets.iter().filter(lapsed);
+        targets.map(|target| target.spec.id.clone()).collect()
+    }
+
+    /// Whether the store answers, as far as this entry host knows.
+    pub fn sees_store(&self) -> bool {
+        self.store_down_ms.get().is_none()
+    }
+
+    /// Takes over changes of a kind that the store told.
+    pub fn apply(&self, kind: Kind, revision: u64, changes: Vec<Change>) {
         let changes = self.known.apply(kind, revision, changes);
-        self.take_changes(kind, changes, from);
+        self.take_changes(kind, changes, &Teller::Store);
     }
 
     /// Notes that the store answered, or did not.
@@ -44,6 +86,8 @@
         match (is_up, self.store_down_ms.get()) {
             (false, None) => {
                 self.store_down_ms.set(Some(now_ms()));
+                // Another must watch the store in this one's place.
+                self.briefing_due.notify_one();
                 self.log(LogEvent::PlatformDown, detail);
             }
             (true, Some(since_ms)) => {
@@ -60,37 +104,44 @@
     /// Drops targets whose entries lapsed and did not come back.
     pub fn sweep(&self) {
         let now = now_ms();
-        let is_settled = now > self.store_back_ms.get() + LAPSE_MS;
-        if self.store_down_ms.get().is_some() || !is_settled {
-            return;
-        }
+        let is_settled =
+            self.sees_store() && now > self.store_back_ms.get() + LAPSE_MS;
+        // Whoever does not watch the store was told that they lapsed after
+        // its return.
+        let is_told = !self.members.borrow().is_watcher(now);
+        let is_over = |target: &&Target| {
+            target.lapsed_at_ms.is_some_and(|at_ms| {
+                is_settled || is_told && now > at_ms + LAPSE_MS
+            })
+        };
         let mut gateway = self.gateway.borrow_mut();
-        let gone: Vec<Name> = gateway
-            .targets
-            .iter()
-            .filter(|target| target.lapsed_at_ms.is_some())
-            .map(|target| target.spec.id.clone())
-            .collect();
+        let targets = gateway.targets.iter().filter(is_over);
+        let gone: Vec<Name> =
+            targets.map(|target| target.spec.id.clone()).collect();
         for id in gone {
             gateway.targets.remove(&id);
             self.log(LogEvent::TargetGone, &format!("target={id} lapsed"));
         }
     }
 
-    fn take_changes(&self, kind: Kind, changes: Vec<Change>, from: &str) {
+    fn take_changes(&self, kind: Kind, changes: Vec<Change>, teller: &Teller) {
+        if !changes.is_empty() {
+            // Others learn of it from the next heartbeat: that is now.
+            self.briefing_due.notify_one();
+        }
         for change in changes {
             match (kind, change) {
                 (Kind::Configuration, Change::Put(object)) => {
-                    self.take_routing(&object, from);
+                    self.take_routing(&object, teller);
                 }
                 (Kind::Targets, Change::Put(object)) => {
                     self.take_target(&object);
                 }
                 (Kind::Targets, Change::Deleted(name)) => {
-                    self.lose_target(&name);
+                    self.lose_target(&name, teller);
                 }
                 (Kind::Versions, Change::Put(object)) => {
-                    self.take_version(&object, from);
+                    self.take_version(&object, teller);
                 }
                 _ => {}
             }
@@ -100,7 +151,8 @@
         }
     }
 
-    fn take_routing(&self, object: &StoredObject, from: &str) {
+    fn take_routing(&self, object: &StoredObject, teller: &Teller) {
+        let from = teller.word();
         let decoded = self.platform.routing(&object.body);
         let unreadable = LogEvent::SettingsUnreadable;
         let Some(routing) = self.readable(object, decoded, unreadable) else {
@@ -128,18 +180,18 @@
             "target={} address={} draining={} version={:?}",
             spec.id, spec.address, spec.is_draining, spec.serves_version
         );
-        let is_new = self.gateway.borrow_mut().targets.put(spec);
+        self.gateway.borrow_mut().targets.put(spec);
         self.log(LogEvent::TargetListed, &detail);
-        if is_new {
-            // Its agent may have just started and waits for a briefing.
-            self.briefing_due.notify_one();
-        }
     }
 
-    fn lose_target(&self, name: &Name) {
+    fn lose_target(&self, name: &Name, teller: &Teller) {
         let now = now_ms();
-        let is_doubtful = self.store_down_ms.get().is_some()
-            || now < self.store_back_ms.get() + LAPSE_MS;
+        let is_doubtful = match teller {
+            Teller::EntryHost { lapsed } => lapsed.contains(name),
+            Teller::Store => {
+                !self.sees_store() || now < self.store_back_ms.get() + LAPSE_MS
+            }
+        };
         let mut gateway = self.gateway.borrow_mut();
         if is_doubtful {
             if let Some(target) = gateway.targets.get_mut(name) {
@@ -152,7 +204,8 @@
         self.log(LogEvent::TargetGone, &detail);
     }
 
-    fn take_version(&self, object: &StoredObject, from: &str) {
+    fn take_version(&self, object: &StoredObject, teller: &Teller) {
+        let from = teller.word();
         let decoded = self.platform.named_weights(&object.body);
         let unreadable = LogEvent::ObjectUnreadable;
         let Some(named) = self.readable(object, decoded, unreadable) else {
@@ -168,7 +221,6 @@
             self.gateway.borrow_mut().note_version(named.model, version);
         if is_new {
             self.log(LogEvent::VersionNamed, &detail);
-            self.briefing_due.notify_one();
         }
     }
 
--- a/crates/raildale/src/fleet/entry/host/known_store.rs
+++ b/crates/raildale/src/fleet/entry/host/known_store.rs
@@ -46,13 +46,16 @@
         self.kinds.borrow()[&kind].mirror.is_known()
     }
 
-    /// Takes over a whole kind; returns what changed by it.
+    /// Takes over a whole kind, last changed at `changed_revision` as whoever
+    /// gave it knows; returns what changed by it.
     pub(super) fn replace(
         &self,
         kind: Kind,
         snapshot: Snapshot,
+        changed_revision: u64,
     ) -> Vec<Change> {
         let newest = snapshot.objects.iter().map(|o| o.revision).max();
+        let newest = newest.max(Some(changed_revision));
         self.update(kind, newest, |mirror| mirror.replace(snapshot))
     }
 
@@ -64,11 +67,12 @@
         revision: u64,
         changes: Vec<Change>,
     ) -> Vec<Change> {
+        // A deletion does not tell its revision: it was by the answer's.
         let newest = changes
             .iter()
-            .filter_map(|change| match change {
-                Change::Put(object) => Some(object.revision),
-                Change::Deleted(_) => None,
+            .map(|change| match change {
+                Change::Put(object) => object.revision,
+                Change::Deleted(_) => revision,
             })
             .max();
         self.update(kind, newest, |mirror| mirror.apply(revision, changes))
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -8,6 +8,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeSet,
     net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
@@ -21,7 +22,7 @@
 };
 
 use self::known_store::KnownStore;
-use super::upstream::Pool;
+use super::{snapshots::EncodedSnapshots, upstream::Pool};
 use crate::{
     error::{Error, ErrorKind},
     fleet::{
@@ -60,6 +61,11 @@
     pub briefing_due: tokio::sync::Notify,
     /// What is known of the store.
     pub known: KnownStore,
+    /// Snapshots, encoded for other entry hosts.
+    pub encoded: RefCell<EncodedSnapshots>,
+    /// Kinds that another entry host is being asked for.
+    asking: RefCell<BTreeSet<Kind>>,
+    started_ms: u64,
     /// Since when the store has not answered.
     store_down_ms: Cell<Option<u64>>,
     /// When the store last answered again; 0 if it was never away.
@@ -73,6 +79,14 @@
 /// dies is left out soon.
 const ADDRESS_TTL_S: f64 = 2.0;
 
+/// How long one that starts listens before it asks the store, in
+/// milliseconds: others that know more send a heartbeat within 400 ms.
+const LISTEN_MS: u64 = 450;
+
+/// One that was told nothing for this long asks the store whatever others
+/// there are, in milliseconds.
+const UNTOLD_MS: u64 = 1_200;
+
 /// Time between two looks at what still runs while leaving.
 const LEAVE_LOOK: Duration = Duration::from_millis(50);
 
@@ -126,6 +140,9 @@
             address_ttl_s: ADDRESS_TTL_S.min(bounds.ttl_max_s),
             briefing_due: tokio::sync::Notify::new(),
             known: KnownStore::new(),
+            encoded: RefCell::default(),
+            asking: RefCell::default(),
+            started_ms: now_ms(),
             store_down_ms: Cell::new(None),
             store_back_ms: Cell::new(0),
             grace_ms: (bounds.grace_s * 1e3) as u64,
@@ -161,6 +178,36 @@
         knows_targets && has_routing && !self.is_leaving()
     }
 
+    /// Whether it is to ask the store for a kind itself. One that has just
+    /// started first listens whether others know it: after a loss of power
+    /// all would read the configuration at once. The list of entry hosts is
+    /// small, and tells who the others are.
+    pub fn may_ask_store(&self, kind: Kind) -> bool {
+        let now = now_ms();
+        let age_ms = now - self.started_ms;
+        let is_known = self.known.is_known(kind);
+        match is_known {
+            false if kind == Kind::EntryHosts => true,
+            false if age_ms > UNTOLD_MS => true,
+            _ if age_ms < LISTEN_MS => false,
+            _ => self.members.borrow().is_watcher(now),
+        }
+    }
+
+    /// Whether another entry host is being asked for a kind.
+    pub fn is_asking(&self, kind: Kind) -> bool {
+        self.asking.borrow().contains(&kind)
+    }
+
+    /// Notes that another entry host is being asked for a kind, or no longer.
+    pub fn set_asking(&self, kind: Kind, is_asking: bool) {
+        let mut asking = self.asking.borrow_mut();
+        match is_asking {
+            true => asking.insert(kind),
+            false => asking.remove(&kind),
+        };
+    }
+
     /// Whether it has been told to stop.
     pub fn is_leaving(&self) -> bool {
         self.leaving_since_ms.get().is_some()
--- a/crates/raildale/src/fleet/entry/peers.rs
+++ b/crates/raildale/src/fleet/entry/peers.rs
@@ -80,9 +80,10 @@
         is_leaving: hello.is_leaving,
         is_ready: hello.is_ready,
         revisions: hello.revisions,
+        sees_store: hello.sees_store,
     };
-    let mut members = host.members.borrow_mut();
-    members.heard(now_ms(), entry, heartbeat);
+    host.members.borrow_mut().heard(now_ms(), entry, heartbeat);
+    catch_up(host);
 }
 
 fn take_report<P>(host: &EntryHost<P>, from: SocketAddr, report: Report) {
@@ -175,6 +176,7 @@
             .into_iter()
             .map(|kind| host.known.changed_revision(kind))
             .collect(),
+        sees_store: host.sees_store(),
     }
 }
 
@@ -183,10 +185,15 @@
 where
     P: Dialect + Store + 'static,
 {
-    for kind in [Kind::Configuration, Kind::Targets, Kind::Versions] {
+    for kind in Kind::ALL {
+        if host.is_asking(kind) {
+            continue;
+        }
         let own = host.known.changed_revision(kind);
-        let ahead = host.members.borrow_mut().ahead(now_ms(), kind, own);
+        let draw = rand::random_range(0..usize::from(u16::MAX));
+        let ahead = host.members.borrow_mut().ahead(now_ms(), kind, own, draw);
         if let Some(ip) = ahead {
+            host.set_asking(kind, true);
             tokio::task::spawn_local(snapshots::ask(host.clone(), ip, kind));
         }
     }
--- a/crates/raildale/src/fleet/entry/snapshots.rs
+++ b/crates/raildale/src/fleet/entry/snapshots.rs
@@ -1,18 +1,28 @@
 //! Kinds of object handed from one entry host to another.
 //!
-//! An entry host that the store turns away still hears of changes this way.
+//! Most entry hosts do not watch the store and hear of changes this way, and
+//! so does one that the store turns away. Objects travel deflated: a
+//! configuration of 1,600 routes is some hundred kilobytes of repetitive
+//! text, and the links of entry hosts carry callers' answers as well.
 
 use std::{
+    collections::BTreeMap,
+    io::{Read, Write},
     net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
 };
 
+use bytes::Bytes;
+use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use futures_util::{SinkExt, StreamExt};
+use prost::Message;
 use raildale_core::{
     LogEvent, Name,
     catalog::{Kind, Snapshot, StoredObject},
-    fleet_message::{AskSnapshot, FleetBody, GiveSnapshot, ObjectEntry},
+    fleet_message::{
+        AskSnapshot, FleetBody, GiveSnapshot, ObjectEntry, ObjectList,
+    },
 };
 use tokio::{
     io::{AsyncRead, AsyncWriteExt},
@@ -30,6 +40,9 @@
     },
 };
 
+/// Bytes of a kind's objects at most: pages of a megabyte, four of them.
+const MOST_UNPACKED_BYTES: u64 = 4 << 20;
+
 /// How long a question may take.
 const ASK_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -77,12 +90,71 @@
             .ok_or(Error::new(ErrorKind::Frame, "no such kind"))?,
         _ => return Err(Error::new(ErrorKind::Frame, "out of place")),
     };
-    let give = encode_snapshot(kind, &host.known.snapshot(kind));
+    let give = give(host, kind)?;
     let frame = frames::encode_frame(FleetBody::GiveSnapshot(give));
     stream.write_all(&frame).await?;
     Ok(())
 }
 
+/// What is known of a kind, for another entry host.
+fn give<P>(host: &EntryHost<P>, kind: Kind) -> Result<GiveSnapshot, Error>
+where
+    P: Dialect + Store + 'static,
+{
+    let lapsed = match kind {
+        Kind::Targets => host.lapsed(),
+        Kind::Configuration | Kind::Versions | Kind::EntryHosts => vec![],
+    };
+    let snapshot = host.known.snapshot(kind);
+    let revision = snapshot.revision;
+    let packed = host.encoded.borrow_mut().packed(kind, snapshot)?;
+    Ok(GiveSnapshot {
+        kind: kind.number(),
+        revision,
+        changed_revision: host.known.changed_revision(kind),
+        lapsed: lapsed.iter().map(Name::to_string).collect(),
+        packed,
+    })
+}
+
+/// The last snapshot of each kind, packed: many ask for the same.
+#[derive(Debug, Default)]
+pub struct EncodedSnapshots {
+    by_kind: BTreeMap<Kind, (u64, Bytes)>,
+}
+
+impl EncodedSnapshots {
+    /// The objects of a snapshot, encoded and deflated.
+    fn packed(
+        &mut self,
+        kind: Kind,
+        snapshot: Snapshot,
+    ) -> Result<Bytes, Error> {
+        if let Some((revision, packed)) = self.by_kind.get(&kind)
+            && *revision == snapshot.revision
+        {
+            return Ok(packed.clone());
+        }
+        let revision = snapshot.revision;
+        let packed = pack(&object_list(snapshot).encode_to_vec())?;
+        self.by_kind.insert(kind, (revision, packed.clone()));
+        Ok(packed)
+    }
+}
+
+fn pack(bytes: &[u8]) -> Result<Bytes, Error> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(bytes)?;
+    Ok(Bytes::from(encoder.finish()?))
+}
+
+fn unpack(packed: &[u8]) -> Result<Bytes, Error> {
+    let mut bytes = Vec::new();
+    let decoder = DeflateDecoder::new(packed);
+    decoder.take(MOST_UNPACKED_BYTES).read_to_end(&mut bytes)?;
+    Ok(Bytes::from(bytes))
+}
+
 /// The next frame of a connection.
 async fn next_body<S>(
     framed: &mut Framed<S, LengthDelimitedCodec>,
@@ -103,58 +175,62 @@
     P: Dialect + Store + 'static,
 {
     let asking = fetch(SocketAddr::new(ip, host.node.entry_port()), kind);
-    match tokio::time::timeout(ASK_TIMEOUT, asking).await {
-        Ok(Ok(snapshot)) => {
-            let detail = format!(
-                "kind={kind:?} revision={} from={ip}",
-                snapshot.revision
-            );
-            host.log(LogEvent::SnapshotTaken, &detail);
-            host.replace(kind, snapshot, "entry host");
-        }
-        Ok(Err(error)) => log::debug!("snapshot from {ip}: {error}"),
-        Err(_) => log::debug!("snapshot from {ip}: late"),
+    let asked = tokio::time::timeout(ASK_TIMEOUT, asking).await;
+    host.set_asking(kind, false);
+    let taken = match asked {
+        Ok(Ok(give)) => take(&host, ip, kind, give),
+        Ok(Err(error)) => Err(error),
+        Err(_) => Err(Error::new(ErrorKind::Io, "late")),
+    };
+    if let Err(error) = taken {
+        log::info!("{kind:?} from {ip}: {error}");
     }
 }
 
-async fn fetch(from: SocketAddr, kind: Kind) -> Result<Snapshot, Error> {
+fn take<P>(
+    host: &EntryHost<P>,
+    ip: IpAddr,
+    kind: Kind,
+    give: GiveSnapshot,
+) -> Result<(), Error>
+where
+    P: Dialect + Store + 'static,
+{
+    let list = ObjectList::decode(unpack(&give.packed)?)
+        .map_err(|error| Error::new(ErrorKind::Frame, error.to_string()))?;
+    let snapshot = snapshot(give.revision, list);
+    let detail = format!("kind={kind:?} revision={} from={ip}", give.revision);
+    host.log(LogEvent::SnapshotTaken, &detail);
+    let lapsed = give.lapsed.into_iter().map(Name::from).collect();
+    host.replace_from_peer(kind, snapshot, give.changed_revision, lapsed);
+    Ok(())
+}
+
+async fn fetch(from: SocketAddr, kind: Kind) -> Result<GiveSnapshot, Error> {
     let stream = frames::connect(from).await?;
     let mut framed = Framed::new(stream, codec::splitter());
     let ask = FleetBody::AskSnapshot(AskSnapshot { kind: kind.number() });
     framed.send(frames::encode_body(ask)).await?;
     match next_body(&mut framed).await? {
-        FleetBody::GiveSnapshot(give) => Ok(decode_snapshot(give)),
+        FleetBody::GiveSnapshot(give) => Ok(give),
         _ => Err(Error::new(ErrorKind::Frame, "out of place")),
     }
 }
 
-fn encode_snapshot(kind: Kind, snapshot: &Snapshot) -> GiveSnapshot {
-    GiveSnapshot {
-        kind: kind.number(),
-        revision: snapshot.revision,
-        objects: snapshot
-            .objects
-            .iter()
-            .map(|object| ObjectEntry {
-                name: object.name.to_string(),
-                revision: object.revision,
-                body: object.body.clone(),
-            })
-            .collect(),
-    }
+fn object_list(snapshot: Snapshot) -> ObjectList {
+    let objects = snapshot.objects.into_iter().map(|object| ObjectEntry {
+        name: object.name.to_string(),
+        revision: object.revision,
+        body: object.body,
+    });
+    ObjectList { objects: objects.collect() }
 }
 
-fn decode_snapshot(give: GiveSnapshot) -> Snapshot {
-    Snapshot {
-        revision: give.revision,
-        objects: give
-            .objects
-            .into_iter()
-            .map(|entry| StoredObject {
-                name: Name::from(entry.name),
-                revision: entry.revision,
-                body: entry.body,
-            })
-            .collect(),
-    }
+fn snapshot(revision: u64, list: ObjectList) -> Snapshot {
+    let objects = list.objects.into_iter().map(|entry| StoredObject {
+        name: Name::from(entry.name),
+        revision: entry.revision,
+        body: entry.body,
+    });
+    Snapshot { revision, objects: objects.collect() }
 }
--- a/crates/raildale/src/fleet/entry/store_watch.rs
+++ b/crates/raildale/src/fleet/entry/store_watch.rs
@@ -1,11 +1,20 @@
 //! Keeps what is known of the store up to date.
+//!
+//! A few entry hosts of each data centre watch the store; the others hear
+//! from heartbeats that there are changes, and ask next door for them
+//! ([`super::snapshots`]). Calls of the store are dear, and a large
+//! configuration that every entry host reads at once from far away fills the
+//! links between regions for a second.
 
 use std::{rc::Rc, time::Duration};
 
 use raildale_core::catalog::Kind;
 
 use super::EntryHost;
-use crate::fleet::edge::{Dialect, Store, StoreFailure};
+use crate::fleet::{
+    edge::{Dialect, Store, StoreFailure},
+    steady_clock::now_ms,
+};
 
 /// How long a watch waits at the store. A connection that died silently is
 /// noticed after that; until then heartbeats of other entry hosts tell what
@@ -17,6 +26,9 @@
 /// seconds.
 const GATHER: Duration = Duration::from_millis(150);
 
+/// Time between two looks whether this entry host is to watch.
+const ROLE_LOOK: Duration = Duration::from_millis(100);
+
 /// Shortest pause after a call that failed.
 const BACKOFF_LEAST_MS: u64 = 150;
 
@@ -45,6 +57,12 @@
     let mut failures = 0;
     let mut must_list = true;
     loop {
+        if !host.may_ask_store(kind) {
+            tokio::time::sleep(ROLE_LOOK).await;
+            // What others told meanwhile can be watched from.
+            must_list = !host.known.is_known(kind);
+            continue;
+        }
         let result = match must_list {
             true => list(&host, kind).await,
             false => next_changes(&host, kind).await,
@@ -73,7 +91,7 @@
 {
     let snapshot = host.platform.list(kind, false).await?;
     host.metrics.add("store_calls_total", "", 1);
-    host.replace(kind, snapshot, "store");
+    host.replace(kind, snapshot);
     Ok(())
 }
 
@@ -88,7 +106,7 @@
     let found = host.platform.watch(kind, revision, WAIT_MS).await?;
     host.metrics.add("store_calls_total", "", 1);
     let is_news = !found.changes.is_empty();
-    host.apply(kind, found.revision, found.changes, "store");
+    host.apply(kind, found.revision, found.changes);
     if is_news && kind == Kind::Targets {
         tokio::time::sleep(GATHER).await;
     }
@@ -115,7 +133,10 @@
     }
     loop {
         tokio::time::sleep(Duration::from_millis(FORGET_MS)).await;
-        let now = crate::fleet::steady_clock::now_ms();
+        let now = now_ms();
+        if !host.members.borrow().is_watcher(now) {
+            continue;
+        }
         let silent = host.members.borrow().silent_for(now, FORGET_MS);
         for entry in silent {
             let taken = host.platform.delete_member(&entry.name).await;
