Seeds ask the store at once, one that comes up is answered at once

Cause: after a loss of power every entry host listened for 450 ms, and agents asked each 200 ms: the fill began that much later than before. Change: seeds do not listen; a heartbeat of one not heard just before is answered at once; agents ask each 60 ms.

--- a/crates/raildale-core/src/members.rs
+++ b/crates/raildale-core/src/members.rs
@@ -121,18 +121,20 @@
         known.entry = entry;
     }
 
-    /// Takes a heartbeat in.
+    /// Takes a heartbeat in. Says whether it came from one that was not
+    /// heard just before, and so may know nothing yet.
     pub fn heard(
         &mut self,
         now_ms: u64,
         entry: MemberEntry,
         heartbeat: Heartbeat,
-    ) {
+    ) -> bool {
         let ip = entry.ip;
         self.add(now_ms, entry);
-        if let Some(member) = self.others.get_mut(&ip) {
-            member.heard = Some(Heard { at_ms: now_ms, heartbeat });
-        }
+        let Some(member) = self.others.get_mut(&ip) else { return false };
+        let is_new = !is_heard(member, now_ms);
+        member.heard = Some(Heard { at_ms: now_ms, heartbeat });
+        is_new
     }
 
     /// Addresses of all others, alive or not.
--- a/crates/raildale-core/tests/members.rs
+++ b/crates/raildale-core/tests/members.rs
@@ -146,3 +146,12 @@
     let near = [2, 3].map(|last| Some(entry("a", last).ip));
     assert_eq!(asked, [near, near].concat(), "shared among those here");
 }
+
+#[test]
+fn one_that_comes_up_is_answered_at_once() {
+    let mut members = Members::new(entry("a", 1));
+    let mut heard = |at_ms| members.heard(at_ms, entry("a", 2), seeing());
+    assert!(heard(START_MS), "never heard before");
+    assert!(!heard(START_MS + 400));
+    assert!(heard(START_MS + 400 + SILENT_MS), "it may have restarted");
+}
--- a/crates/raildale/src/fleet/agent/reports.rs
+++ b/crates/raildale/src/fleet/agent/reports.rs
@@ -27,9 +27,9 @@
 const FORGET_MS: u64 = 4_000;
 
 /// Time between two questions for the first briefing: the way there and back
-/// takes a few milliseconds, and an entry host that starts as well knows the
-/// configuration after half a second.
-const ASK_AGAIN: Duration = Duration::from_millis(200);
+/// takes a few milliseconds, and a seed that starts as well knows the
+/// configuration after a tenth of a second.
+const ASK_AGAIN: Duration = Duration::from_millis(60);
 
 /// The entry hosts that want reports.
 #[derive(Clone, Debug)]
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -180,20 +180,25 @@
 
     /// Whether it is to ask the store for a kind itself. One that has just
     /// started first listens whether others know it: after a loss of power
-    /// all would read the configuration at once. The list of entry hosts is
-    /// small, and tells who the others are.
+    /// all would read the configuration at once. Seeds do not wait: all
+    /// others turn to them. The list of entry hosts is small, and tells who
+    /// the others are.
     pub fn may_ask_store(&self, kind: Kind) -> bool {
         let now = now_ms();
         let age_ms = now - self.started_ms;
-        let is_known = self.known.is_known(kind);
-        match is_known {
-            false if kind == Kind::EntryHosts => true,
-            false if age_ms > UNTOLD_MS => true,
+        let is_first = self.is_seed() || kind == Kind::EntryHosts;
+        match self.known.is_known(kind) {
+            false if is_first || age_ms > UNTOLD_MS => true,
             _ if age_ms < LISTEN_MS => false,
             _ => self.members.borrow().is_watcher(now),
         }
     }
 
+    /// Whether others are told to begin with this one.
+    fn is_seed(&self) -> bool {
+        self.node.seeds.iter().any(|seed| seed.ip() == self.node.ip)
+    }
+
     /// Whether another entry host is being asked for a kind.
     pub fn is_asking(&self, kind: Kind) -> bool {
         self.asking.borrow().contains(&kind)
--- a/crates/raildale/src/fleet/entry/peers.rs
+++ b/crates/raildale/src/fleet/entry/peers.rs
@@ -52,7 +52,9 @@
     loop {
         match notes.next().await {
             (Note::Hello(hello), from) => {
-                take_hello(&host, from.ip(), hello);
+                if take_hello(&host, from.ip(), hello) {
+                    send(&socket, &hello_note(&host), from).await;
+                }
             }
             (Note::Report(report), from) => take_report(&host, from, report),
             (Note::AskBriefing(ask), from) => {
@@ -67,7 +69,9 @@
     }
 }
 
-fn take_hello<P>(host: &Rc<EntryHost<P>>, ip: IpAddr, hello: Hello)
+/// Takes a heartbeat in; says whether its sender may know nothing yet, and
+/// is answered at once.
+fn take_hello<P>(host: &Rc<EntryHost<P>>, ip: IpAddr, hello: Hello) -> bool
 where
     P: Dialect + Store + 'static,
 {
@@ -82,8 +86,9 @@
         revisions: hello.revisions,
         sees_store: hello.sees_store,
     };
-    host.members.borrow_mut().heard(now_ms(), entry, heartbeat);
+    let is_new = host.members.borrow_mut().heard(now_ms(), entry, heartbeat);
     catch_up(host);
+    is_new
 }
 
 fn take_report<P>(host: &EntryHost<P>, from: SocketAddr, report: Report) {
@@ -139,7 +144,7 @@
 where
     P: Dialect + Store + 'static,
 {
-    let hello = frames::encode_note(Note::Hello(hello(host)));
+    let hello = hello_note(host);
     let mut others: Vec<IpAddr> = host.members.borrow().others().collect();
     let seeds = host.node.seed_entry_hosts().map(|seed| seed.ip());
     others.extend(seeds.filter(|ip| *ip != host.node.ip));
@@ -163,11 +168,12 @@
     }
 }
 
-fn hello<P>(host: &EntryHost<P>) -> Hello
+/// A heartbeat of this entry host, encoded.
+fn hello_note<P>(host: &EntryHost<P>) -> Vec<u8>
 where
     P: Dialect + Store + 'static,
 {
-    Hello {
+    let hello = Hello {
         name: host.node.name.clone(),
         data_centre: host.node.data_centre.clone(),
         is_leaving: host.is_leaving(),
@@ -177,7 +183,8 @@
             .map(|kind| host.known.changed_revision(kind))
             .collect(),
         sees_store: host.sees_store(),
-    }
+    };
+    frames::encode_note(Note::Hello(hello))
 }
 
 /// Asks another entry host for what it knows and this one does not.
