--- a/crates/raildale-core/src/members.rs
+++ b/crates/raildale-core/src/members.rs
@@ -240,7 +240,7 @@
     /// A live entry host that is ahead of this one in a kind, and is to be
     /// asked for it: one next door if there is any, by `draw`, so that not
     /// all ask the same. One that watches the store itself waits a while
-    /// first.
+    /// first, unless it knows nothing of the kind yet.
     pub fn ahead(
         &mut self,
         now_ms: u64,
@@ -248,7 +248,9 @@
         own_revision: u64,
         draw: usize,
     ) -> Option<IpAddr> {
-        let patience_ms = if self.is_watcher(now_ms) { AHEAD_MS } else { 0 };
+        let knows_some = own_revision > 0;
+        let is_patient = knows_some && self.is_watcher(now_ms);
+        let patience_ms = if is_patient { AHEAD_MS } else { 0 };
         let place = kind.number() as usize;
         let revision = |member: &Member| {
             let heard = member.heard.as_ref()?;
--- a/crates/raildale-core/tests/members.rs
+++ b/crates/raildale-core/tests/members.rs
@@ -82,6 +82,8 @@
         None,
         "the watch may bring it"
     );
+    let asked = members.ahead(START_MS, kind, 0, 0);
+    assert_eq!(asked, Some(entry("b", 4).ip), "nothing is known yet");
     let asked = members.ahead(START_MS + 300, kind, 8, 0);
     assert_eq!(asked, Some(entry("b", 4).ip));
     assert_eq!(members.ahead(START_MS + 301, kind, 9, 0), None);
