Each entry host looks at a share of the targets

Change: a request looks at so many candidates, from a drawn place on, that about 3.5 entry hosts look at each; with up to six that is all of them. What counts for entry hosts that choose alike is bounded by the same figure. Test: a_target_that_looks_idle_is_not_flooded_by_all_entry_hosts. A queue at an old target is rarer, not excluded.

--- a/crates/raildale-core/src/gateway/targets.rs
+++ b/crates/raildale-core/src/gateway/targets.rs
@@ -64,6 +64,14 @@
 /// for those that can still be in time.
 const SPARE_REQUESTS: f64 = 2.0;
 
+/// Entry hosts that look at the same target at most. With six entry hosts in
+/// three data centres it is three, and each looks at all targets.
+const ALIKE_MOST: f64 = 3.5;
+
+/// Candidates that a request looks at, at least: the better of two evens load
+/// out nearly as well as the best of all.
+const LOOKED_AT_LEAST: usize = 2;
+
 /// What a plain service's request usually takes, in milliseconds.
 const PLAIN_RUN_MS: f64 = 50.0;
 
@@ -212,25 +220,49 @@
     /// The best target for a request, and what it costs there.
     ///
     /// Each candidate's cost is the wait expected there, plus failures and
-    /// the crossing counted as time. `draw` breaks ties, so that entry hosts
-    /// which believe the same do not all pick the same.
+    /// the crossing counted as time. `draw` says at which of them this
+    /// request looks, and breaks ties: entry hosts believe much the same, and
+    /// where there are many, all would flood the target that looked idle.
     pub fn pick(
         &self,
         now_ms: u64,
         need: Need<'_>,
         draw: u32,
     ) -> Option<(&Target, f64)> {
-        let ids = self.by_service.get(need.service)?;
-        let count = ids.len();
-        let start = draw as usize % count.max(1);
-        (0..count)
-            .filter_map(|step| self.by_id.get(&ids[(start + step) % count]))
+        let (here, elsewhere): (Vec<&Target>, Vec<&Target>) = self
+            .of(need.service)
             .filter(|target| fits(target, now_ms, need))
             .filter(|target| self.has_room(target, now_ms, need))
+            .partition(|target| *target.spec.data_centre == *need.data_centre);
+        self.looked_at(&here, draw)
+            .chain(self.looked_at(&elsewhere, draw))
             .map(|target| (target, self.cost_for(target, now_ms, need)))
             .min_by(|a, b| a.1.total_cmp(&b.1))
     }
 
+    /// A part of the candidates, from a drawn place on: so many that about
+    /// [`ALIKE_MOST`] entry hosts look at each.
+    fn looked_at<'a>(
+        &self,
+        candidates: &[&'a Target],
+        draw: u32,
+    ) -> impl Iterator<Item = &'a Target> {
+        let all = candidates.len();
+        let share = (ALIKE_MOST / self.senders.max(1.0)).min(1.0);
+        let count = (all as f64 * share).ceil() as usize;
+        let first = (draw as usize).checked_rem(all).unwrap_or(0);
+        (0..count.max(LOOKED_AT_LEAST).min(all))
+            .map(move |step| (first + step) % all)
+            .map(|place| candidates[place])
+            .collect::<Vec<_>>()
+            .into_iter()
+    }
+
+    /// Entry hosts that choose among the same targets as this one.
+    fn alike(&self) -> f64 {
+        self.senders.clamp(1.0, ALIKE_MOST)
+    }
+
     /// A target whose version is about to be too old gets nothing that would
     /// wait there: if it froze, what waits would start too late.
     fn has_room(&self, target: &Target, now_ms: u64, need: Need<'_>) -> bool {
@@ -242,7 +274,7 @@
             (true, false) => 0.0,
             (false, false) => SPARE_REQUESTS,
         };
-        target.has_room(now_ms, self.senders.max(1.0), spare)
+        target.has_room(now_ms, self.alike(), spare)
     }
 
     fn cost_for(&self, target: &Target, now_ms: u64, need: Need<'_>) -> f64 {
@@ -251,7 +283,7 @@
         } else {
             CROSSING_MS
         };
-        target.cost_ms(now_ms, self.senders.max(1.0)) + crossing
+        target.cost_ms(now_ms, self.alike()) + crossing
     }
 }
 
--- a/crates/raildale-core/tests/gateway.rs
+++ b/crates/raildale-core/tests/gateway.rs
@@ -423,3 +423,38 @@
     let next = gateway.next(START_MS, &mut request, START_MS, 0);
     assert_eq!(sent(next), None, "the queue comes and goes");
 }
+
+/// Many entry hosts hear the same reports, and one target looks idle in all.
+#[test]
+fn a_target_that_looks_idle_is_not_flooded_by_all_entry_hosts() {
+    const HOSTS: u32 = 34;
+    const TARGETS: u8 = 45;
+    let mut sent_to_idle = 0;
+    for host in 0..HOSTS {
+        let mut gateway = gateway();
+        gateway.set_entry_hosts(HOSTS as usize);
+        for last in 1..=TARGETS {
+            let id = format!("t{last}");
+            let spec = TargetSpec {
+                slots: 12,
+                ..target(&id, "model", last, Some(1))
+            };
+            let address = spec.address;
+            gateway.targets.put(spec);
+            let running = if last == 1 { 0 } else { 6 };
+            let told = TargetReport { running, ..report(1) };
+            gateway.targets.note_report(START_MS, address, told);
+        }
+        // A different draw at each: they spread over the targets.
+        let draw = host.wrapping_mul(2_654_435_761);
+        let head = head("/deep/x");
+        let mut request =
+            gateway.admit(START_MS, &head, draw).expect("it is let in");
+        match gateway.next(START_MS, &mut request, START_MS, draw) {
+            Next::Send(to) if &*to.target == "t1" => sent_to_idle += 1,
+            Next::Send(_) => {}
+            other => panic!("it has a target: {other:?}"),
+        }
+    }
+    assert!(sent_to_idle <= 14, "{sent_to_idle} of {HOSTS} at once");
+}
