Reports to other data centres go with every third look

Change: entry hosts that brief without a list, those of other data centres, hear of every third look and at once of news; a report tells when the next one is due, so that a rarer one does not count as delayed. Test: a_report_counts_as_delayed_once_it_is_overdue.

--- a/crates/raildale-core/src/fleet_message.rs
+++ b/crates/raildale-core/src/fleet_message.rs
@@ -171,6 +171,9 @@
     /// wanted; 0 if none.
     #[prost(uint32, tag = "11")]
     pub missing_chunks: u32,
+    /// Milliseconds until the reader's next report, if nothing happens.
+    #[prost(uint32, tag = "12")]
+    pub every_ms: u32,
 }
 
 /// Thousandths in the whole, as paces are told.
@@ -192,6 +195,7 @@
             briefing_sent_ms: 0,
             briefing_age_ms: 0,
             missing_chunks: report.missing_chunks,
+            every_ms: report.every_ms,
         }
     }
 
@@ -218,6 +222,7 @@
             pace: f64::from(self.pace_milli) / MILLI,
             missing_chunks: self.missing_chunks,
             round_trip_ms,
+            every_ms: self.every_ms,
         }
     }
 }
--- a/crates/raildale-core/src/gateway/target.rs
+++ b/crates/raildale-core/src/gateway/target.rs
@@ -45,6 +45,8 @@
     pub missing_chunks: u32,
     /// Milliseconds to its machine and back, the queues on the way included.
     pub round_trip_ms: u64,
+    /// Milliseconds until the next report, if nothing happens.
+    pub every_ms: u32,
 }
 
 /// How a request ended at a target.
@@ -92,8 +94,9 @@
 /// another start: its entry lags behind by about that, in milliseconds.
 const MISDIRECTED_MS: u64 = 1_500;
 
-/// Time between two reports, a lost one allowed for, in milliseconds.
-const REPORT_EVERY_MS: u64 = 250;
+/// A report that is later than announced by this much is overdue, in
+/// milliseconds: datagrams are lost now and then, and wait in queues.
+const REPORT_LATE_MS: u64 = 150;
 
 /// The longest delay that is believed, in milliseconds: a target without an
 /// agent any more must not look ever farther away.
@@ -260,7 +263,8 @@
     pub fn round_trip_ms(&self, now_ms: u64) -> u64 {
         let Some((at_ms, report, _)) = &self.report else { return 0 };
         let age_ms = now_ms.saturating_sub(*at_ms);
-        let overdue_ms = age_ms.saturating_sub(REPORT_EVERY_MS);
+        let due_ms = u64::from(report.every_ms) + REPORT_LATE_MS;
+        let overdue_ms = age_ms.saturating_sub(due_ms);
         report.round_trip_ms.max(overdue_ms).min(DELAY_MOST_MS)
     }
 
--- a/crates/raildale-core/src/swarm/reducer/mod.rs
+++ b/crates/raildale-core/src/swarm/reducer/mod.rs
@@ -101,6 +101,7 @@
             pace: self.target.pace,
             missing_chunks: self.missing_chunks(),
             round_trip_ms: 0,
+            every_ms: 0,
         }
     }
 
--- a/crates/raildale-core/tests/gateway.rs
+++ b/crates/raildale-core/tests/gateway.rs
@@ -458,3 +458,23 @@
     }
     assert!(sent_to_idle <= 14, "{sent_to_idle} of {HOSTS} at once");
 }
+
+#[parameterized(
+    just_due = { 300, 440, 0 },
+    late = { 300, 700, 250 },
+    frequent = { 100, 440, 190 },
+)]
+fn a_report_counts_as_delayed_once_it_is_overdue(
+    every_ms: u32,
+    age_ms: u64,
+    way_ms: u64,
+) {
+    let mut gateway = gateway();
+    let spec = target("t1", "model", 1, Some(1));
+    let address = spec.address;
+    gateway.targets.put(spec);
+    let told = TargetReport { every_ms, ..report(1) };
+    gateway.targets.note_report(START_MS, address, told);
+    let target = gateway.targets.get("t1").expect("it was listed");
+    assert_eq!(target.round_trip_ms(START_MS + age_ms), way_ms);
+}
--- a/crates/raildale/src/fleet/agent/reports.rs
+++ b/crates/raildale/src/fleet/agent/reports.rs
@@ -31,6 +31,9 @@
 /// configuration after a tenth of a second.
 const ASK_AGAIN: Duration = Duration::from_millis(60);
 
+/// Of this many regular reports, entry hosts of other data centres get one.
+const FAR_EVERY: u32 = 3;
+
 /// The entry hosts that want reports.
 #[derive(Clone, Debug)]
 pub struct Reports {
@@ -40,6 +43,8 @@
     facts: Rc<ServiceFacts>,
     /// When the last briefing with a list of agents came.
     listed_ms: Rc<Cell<u64>>,
+    /// Looks at the target so far.
+    looks: Rc<Cell<u32>>,
     /// Whether such a briefing ever came.
     is_briefed: Rc<Cell<bool>>,
 }
@@ -51,6 +56,8 @@
     at_ms: u64,
     /// When it left, on the sender's clock.
     sent_ms: u64,
+    /// Whether the entry host looks after this data centre.
+    is_near: bool,
 }
 
 impl Reports {
@@ -67,6 +74,7 @@
             readers: Rc::default(),
             facts,
             listed_ms: Rc::new(Cell::new(now_ms())),
+            looks: Rc::default(),
             is_briefed: Rc::default(),
         }
     }
@@ -97,8 +105,11 @@
         loop {
             let (note, from) = notes.next().await;
             if let Note::Briefing(briefing) = note {
-                let sent_ms = briefing.sent_ms;
-                let reader = Reader { at_ms: now_ms(), sent_ms };
+                let reader = Reader {
+                    at_ms: now_ms(),
+                    sent_ms: briefing.sent_ms,
+                    is_near: !briefing.agents.is_empty(),
+                };
                 self.readers.borrow_mut().insert(from, reader);
                 self.facts.note_briefing(&briefing);
                 if !briefing.agents.is_empty() {
@@ -113,8 +124,27 @@
         }
     }
 
-    /// Tells every entry host that wants to know.
-    pub async fn send(&self, report: &TargetReport) {
+    /// Tells entry hosts what a regular look at the target found; the next
+    /// look is `look_ms` later. Those of other data centres send little
+    /// here, and bytes that cross are dear: they hear of every third look.
+    pub async fn send_regularly(&self, report: &TargetReport, look_ms: u32) {
+        let looks = self.looks.get();
+        self.looks.set(looks.wrapping_add(1));
+        let is_far_due = looks.is_multiple_of(FAR_EVERY);
+        self.send(report, look_ms, is_far_due).await;
+    }
+
+    /// Tells every entry host that wants to know what has just changed.
+    pub async fn send_news(&self, report: &TargetReport, look_ms: u32) {
+        self.send(report, look_ms, true).await;
+    }
+
+    async fn send(
+        &self,
+        report: &TargetReport,
+        look_ms: u32,
+        is_far_due: bool,
+    ) {
         let now = now_ms();
         let readers: Vec<(SocketAddr, Reader)> = {
             let mut readers = self.readers.borrow_mut();
@@ -123,6 +153,11 @@
         };
         let mut message = Report::of(self.target, report);
         for (to, reader) in readers {
+            if !reader.is_near && !is_far_due {
+                continue;
+            }
+            let looks = if reader.is_near { 1 } else { FAR_EVERY };
+            message.every_ms = look_ms * looks;
             message.briefing_sent_ms = reader.sent_ms;
             message.briefing_age_ms = now - reader.at_ms;
             let note = frames::encode_note(Note::Report(message.clone()));
--- a/crates/raildale/src/fleet/agent/worker.rs
+++ b/crates/raildale/src/fleet/agent/worker.rs
@@ -41,11 +41,13 @@
 /// the same link.
 const LINK_SHARE: f64 = 0.85;
 
-/// Time between two looks at the target while nothing is under way.
-const CALM_LOOK: Duration = Duration::from_millis(100);
+/// Time between two looks at the target while nothing is under way, in
+/// milliseconds.
+const CALM_LOOK_MS: u32 = 100;
 
-/// Time between two looks at the target while weights are on their way.
-const BUSY_LOOK: Duration = Duration::from_millis(50);
+/// Time between two looks at the target while weights are on their way, in
+/// milliseconds.
+const BUSY_LOOK_MS: u32 = 50;
 
 /// Without a list of agents for this long the store is asked, in
 /// milliseconds: entry hosts brief every 400 ms, and after a loss of power
@@ -144,10 +146,8 @@
     async fn run(&mut self, mut inbox: Inbox) -> Result<(), Error> {
         loop {
             self.look().await;
-            let pause = match self.swarm.is_calm() {
-                true => CALM_LOOK,
-                false => BUSY_LOOK,
-            };
+            let pause_ms = u64::from(self.look_ms());
+            let pause = Duration::from_millis(pause_ms);
             let until = tokio::time::Instant::now() + pause;
             while let Ok(Some(event)) =
                 tokio::time::timeout_at(until, inbox.recv()).await
@@ -157,13 +157,23 @@
         }
     }
 
+    /// Milliseconds until the next look at the target.
+    fn look_ms(&self) -> u32 {
+        match self.swarm.is_calm() {
+            true => CALM_LOOK_MS,
+            false => BUSY_LOOK_MS,
+        }
+    }
+
     /// Looks at the target, tells the entry hosts, and asks the store if
     /// nobody else tells what it knows.
     async fn look(&mut self) {
         let state = self.platform.state().await.unwrap_or_default();
         self.take(Event::Target(state)).await;
         self.take(Event::Tick).await;
-        self.reports.send(&self.swarm.report()).await;
+        let look_ms = self.look_ms();
+        let report = self.swarm.report();
+        self.reports.send_regularly(&report, look_ms).await;
         if now_ms() > self.reports.last_list_ms() + self.unbriefed_ms {
             self.store.ask();
         }
@@ -203,7 +213,8 @@
             }
             Effect::Order { version, method } => self.order(version, method),
             Effect::Report => {
-                self.reports.send(&self.swarm.report()).await;
+                let look_ms = self.look_ms();
+                self.reports.send_news(&self.swarm.report(), look_ms).await;
             }
             Effect::Log(event, detail) => {
                 logs::event(&self.name, event, &detail);
