A stream that has begun moves only where there is room

Change: by silence alone a stream moves only to a target that has room now. Test: a_silent_stream_moves_only_where_there_is_room (cases nobody_else and another_that_is_full were given up before).

--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -337,22 +337,13 @@
         if attempts >= request.route.max_attempts.max(1) {
             return Next::Refuse(self.give_up(request, Code::TargetBusy));
         }
-        let engine = request.service.engine.as_ref();
-        let needs_weights = engine.is_some_and(|e| e.layer_count > 0);
         let model = request.model.as_deref();
         let bounds = model
             .map_or_else(Vec::new, |model| self.version_bounds(now_ms, model));
         let least_version =
             model.map_or(0, |model| self.least_version(now_ms, model, 0));
         let waited_ms = now_ms.saturating_sub(request.arrived_ms);
-        let need = Need {
-            is_late: waited_ms + FIRST_EVENT_MS > request.route.goal_ms,
-            service: &request.service.name,
-            data_centre: &self.config.data_centre,
-            bounds: &bounds,
-            needs_weights,
-            tried: &request.tried,
-        };
+        let need = self.need(now_ms, request, &bounds);
         let picked = self.targets.pick(now_ms, need, draw);
         let Some((target, cost_ms)) = picked else {
             let is_full = self.targets.any_fits(now_ms, need);
@@ -378,6 +369,35 @@
         Next::Send(dispatch)
     }
 
+    /// What a target has to be for a request.
+    fn need<'a>(
+        &'a self,
+        now_ms: u64,
+        request: &'a Admission,
+        bounds: &'a [VersionBound],
+    ) -> Need<'a> {
+        let engine = request.service.engine.as_ref();
+        let waited_ms = now_ms.saturating_sub(request.arrived_ms);
+        Need {
+            is_late: waited_ms + FIRST_EVENT_MS > request.route.goal_ms,
+            service: &request.service.name,
+            data_centre: &self.config.data_centre,
+            bounds,
+            needs_weights: engine.is_some_and(|e| e.layer_count > 0),
+            tried: &request.tried,
+        }
+    }
+
+    /// Whether a target that did not have a request before could take it
+    /// now.
+    fn has_room_elsewhere(&self, now_ms: u64, request: &Admission) -> bool {
+        let model = request.model.as_deref();
+        let bounds = model
+            .map_or_else(Vec::new, |model| self.version_bounds(now_ms, model));
+        let need = self.need(now_ms, request, &bounds);
+        self.targets.any_has_room(now_ms, need)
+    }
+
     /// What becomes of a request that no target takes now.
     fn wait_or_refuse(
         &mut self,
@@ -478,7 +498,11 @@
             .get(target)
             .is_some_and(|known| known.report(now_ms).is_some());
         let patience_ms = match (has_begun, has_agent) {
-            (true, _) => STREAM_PATIENCE_MS,
+            // A stream that has begun is not given up for nothing: what is
+            // on its way may only be delayed.
+            (true, _) if silent_ms < STREAM_PATIENCE_MS => u64::MAX,
+            (true, _) if self.has_room_elsewhere(now_ms, request) => 0,
+            (true, _) => u64::MAX,
             (false, true) => u64::MAX,
             (false, false) => request.route.goal_ms * GOALS_OF_PATIENCE,
         };
--- a/crates/raildale-core/src/gateway/targets.rs
+++ b/crates/raildale-core/src/gateway/targets.rs
@@ -187,6 +187,13 @@
         self.of(need.service).any(|target| fits(target, now_ms, need))
     }
 
+    /// Whether some target could take a request now.
+    pub fn any_has_room(&self, now_ms: u64, need: Need<'_>) -> bool {
+        self.of(need.service)
+            .filter(|target| fits(target, now_ms, need))
+            .any(|target| self.has_room(target, now_ms, need))
+    }
+
     /// Milliseconds until the first target of a service that does not serve
     /// now will; `None` if nothing is known.
     pub fn ready_in_ms(&self, now_ms: u64, service: &str) -> Option<u64> {
--- a/crates/raildale-core/tests/gateway.rs
+++ b/crates/raildale-core/tests/gateway.rs
@@ -381,6 +381,35 @@
     assert_eq!(lost, is_lost);
 }
 
+#[parameterized(
+    nobody_else = { 1_200, None, false },
+    another_with_room = { 1_200, Some(0), true },
+    another_that_is_full = { 1_200, Some(9), false },
+    soon = { 900, Some(0), false },
+)]
+fn a_silent_stream_moves_only_where_there_is_room(
+    silent_ms: u64,
+    running_elsewhere: Option<u32>,
+    is_lost: bool,
+) {
+    let mut gateway = gateway();
+    let put = |gateway: &mut Gateway, id: &str, last: u8, running: u32| {
+        let spec = target(id, "model", last, Some(1));
+        let address = spec.address;
+        gateway.targets.put(spec);
+        let told = TargetReport { running, ..report(1) };
+        gateway.targets.note_report(START_MS, address, told);
+    };
+    put(&mut gateway, "t", 1, 1);
+    if let Some(running) = running_elsewhere {
+        put(&mut gateway, "u", 2, running);
+    }
+    let mut request = admit(&mut gateway, "/deep/");
+    request.tried.push("t".into());
+    let lost = gateway.is_lost(START_MS, &request, "t", silent_ms, true);
+    assert_eq!(lost, is_lost);
+}
+
 #[test]
 fn repeats_stay_within_the_share_of_the_bound() {
     let bound = RetryBound { ratio: 0.2, extra: 100.0, window_ms: 10_000 };
