An address belongs to its latest start

Change: of two entries with the same address the one with the higher revision stands. Test: an_address_belongs_to_its_latest_start (both orders).

--- a/crates/raildale-core/src/gateway/target.rs
+++ b/crates/raildale-core/src/gateway/target.rs
@@ -21,6 +21,8 @@
     pub is_draining: bool,
     /// The version whose weights it serves whole, if it tells of weights.
     pub serves_version: Option<u64>,
+    /// The store's revision of its entry.
+    pub revision: u64,
 }
 
 /// What the agent beside a target tells of it.
--- a/crates/raildale-core/src/gateway/targets.rs
+++ b/crates/raildale-core/src/gateway/targets.rs
@@ -94,6 +94,10 @@
     /// Takes over what the list tells; load and health stay.
     pub fn put(&mut self, spec: TargetSpec) {
         let id = spec.id.clone();
+        if self.is_superseded(&spec) {
+            self.remove(&id);
+            return;
+        }
         if let Some(target) = self.by_id.get_mut(&id) {
             target.lapsed_at_ms = None;
             let is_moved = target.spec.address != spec.address
@@ -104,12 +108,26 @@
             }
             self.remove(&id);
         }
-        self.by_address.insert(spec.address, id.clone());
+        if let Some(before) = self.by_address.insert(spec.address, id.clone())
+        {
+            self.remove(&before);
+        }
         let ids = self.by_service.entry(spec.service.clone()).or_default();
         ids.push(id.clone());
         self.by_id.insert(id, Target::new(spec));
     }
 
+    /// Whether another start has the address of a target since. One that
+    /// crashed stays listed for three of its heartbeats, and requests to it
+    /// would be refused by whoever listens there now.
+    fn is_superseded(&self, spec: &TargetSpec) -> bool {
+        self.by_address
+            .get(&spec.address)
+            .filter(|known| **known != spec.id)
+            .and_then(|known| self.by_id.get(known))
+            .is_some_and(|known| known.spec.revision > spec.revision)
+    }
+
     /// Forgets a target that has left.
     pub fn remove(&mut self, id: &str) {
         let Some(target) = self.by_id.remove(id) else { return };
--- a/crates/raildale-core/tests/gateway.rs
+++ b/crates/raildale-core/tests/gateway.rs
@@ -76,6 +76,7 @@
         slots: 2,
         is_draining: false,
         serves_version: version,
+        revision: 1,
     }
 }
 
@@ -410,6 +411,29 @@
     assert_eq!(lost, is_lost);
 }
 
+#[parameterized(
+    as_it_happens = { ["old", "new"] },
+    from_a_list = { ["new", "old"] },
+)]
+fn an_address_belongs_to_its_latest_start(order: [&str; 2]) {
+    let mut gateway = gateway();
+    for id in order {
+        let revision = if id == "new" { 9 } else { 5 };
+        let spec = TargetSpec { revision, ..target(id, "model", 1, Some(1)) };
+        gateway.targets.put(spec);
+    }
+    let known: Vec<&str> =
+        gateway.targets.iter().map(|t| &*t.spec.id).collect();
+    assert_eq!(known, ["new"]);
+    gateway.targets.remove("old");
+    let told = gateway.targets.note_report(
+        START_MS,
+        SocketAddr::from(([10, 0, 0, 1], 80)),
+        report(1),
+    );
+    assert!(told, "the end of the old one takes nothing away");
+}
+
 #[test]
 fn repeats_stay_within_the_share_of_the_bound() {
     let bound = RetryBound { ratio: 0.2, extra: 100.0, window_ms: 10_000 };
