A fill that stands still promises nothing

Change: without a new chunk for a second nothing is known of when a target will serve. Test: a_fill_that_stands_still_promises_nothing.

--- a/crates/raildale-core/src/gateway/target.rs
+++ b/crates/raildale-core/src/gateway/target.rs
@@ -79,6 +79,8 @@
     failures: FailureRate,
     misdirected_ms: Option<u64>,
     is_agent_told_up: bool,
+    /// Since when as many chunks have been missing.
+    missing_since_ms: u64,
     /// The longest way of late, and when it was measured.
     worst_way: (u64, u64),
     /// Set while the list lost the target during an outage of the store.
@@ -124,6 +126,11 @@
 /// 48 chunks come in about 3 s on the benches.
 const CHUNK_MS: u64 = 65;
 
+/// A fill without a new chunk for this long is stalled, in milliseconds: on
+/// the benches' links a chunk comes every 42 ms, and on a squeezed one of 1.2
+/// Mbit/s every 330 ms.
+const STALLED_MS: u64 = 1_000;
+
 /// Milliseconds from the last chunk until a target serves.
 const LOAD_MS: u64 = 450;
 
@@ -140,6 +147,7 @@
             failures: FailureRate::default(),
             misdirected_ms: None,
             is_agent_told_up: false,
+            missing_since_ms: 0,
             worst_way: (0, 0),
             lapsed_at_ms: None,
         }
@@ -151,6 +159,10 @@
         if is_over || report.round_trip_ms >= self.worst_way.0 {
             self.worst_way = (report.round_trip_ms, now_ms);
         }
+        let missing = self.report.as_ref().map(|(_, r, _)| r.missing_chunks);
+        if missing != Some(report.missing_chunks) {
+            self.missing_since_ms = now_ms;
+        }
         self.report = Some((now_ms, report, self.in_flight));
     }
 
@@ -231,9 +243,15 @@
     }
 
     /// Milliseconds until it will serve, as far as its agent's progress tells;
-    /// `None` if it serves already or nothing is known.
+    /// `None` if it serves already, or nothing is known: a fill that makes no
+    /// progress, as while the origin is away, may take any time.
     pub fn ready_in_ms(&self, now_ms: u64) -> Option<u64> {
         let report = self.report(now_ms)?;
+        let is_stalled = report.missing_chunks > 0
+            && now_ms >= self.missing_since_ms + STALLED_MS;
+        if is_stalled {
+            return None;
+        }
         let is_coming = report.is_up
             && (report.missing_chunks > 0 || !report.is_accepting);
         let missing = u64::from(report.missing_chunks);
--- a/crates/raildale-core/tests/gateway.rs
+++ b/crates/raildale-core/tests/gateway.rs
@@ -434,6 +434,26 @@
     assert!(told, "the end of the old one takes nothing away");
 }
 
+#[parameterized(
+    it_fills = { 20, Some(1_750) },
+    nothing_comes = { 30, None },
+)]
+fn a_fill_that_stands_still_promises_nothing(
+    missing_chunks: u32,
+    ready_ms: Option<u64>,
+) {
+    let mut gateway = gateway();
+    let spec = target("t1", "model", 1, None);
+    let address = spec.address;
+    gateway.targets.put(spec);
+    let told = |missing_chunks| TargetReport { missing_chunks, ..report(0) };
+    gateway.targets.note_report(START_MS, address, told(30));
+    let later_ms = START_MS + 1_200;
+    gateway.targets.note_report(later_ms, address, told(missing_chunks));
+    let ready = gateway.targets.ready_in_ms(later_ms, "model");
+    assert_eq!(ready, ready_ms);
+}
+
 #[test]
 fn repeats_stay_within_the_share_of_the_bound() {
     let bound = RetryBound { ratio: 0.2, extra: 100.0, window_ms: 10_000 };
