A discarded body's bytes are counted by the slice's own length

What: request_body.rs calls len() where it called Buf's remaining(), and no longer imports Buf. Why: the data is Bytes and the line above already measures it by len(); two words for one figure make a reader look for a difference.

--- a/crates/raildale/src/request_body.rs
+++ b/crates/raildale/src/request_body.rs
@@ -2,7 +2,7 @@
 
 use std::error::Error as StdError;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use raildale_core::Code;
@@ -36,7 +36,7 @@
             whole.extend_from_slice(&data);
             continue;
         }
-        discarded_bytes += data.remaining();
+        discarded_bytes += data.len();
         if discarded_bytes > DISCARD_MOST_BYTES {
             break;
         }
