Comments say what the relay and the briefings made true

What: a heartbeat's revisions are those of the last change known, not of the store; an agent hears its model from briefings as well as from the store; the watch of the store also keeps the own entry; the count of log lines says what it counts. Why: the comments were older than the code beside them. No code changed.

--- a/crates/raildale-core/src/fleet_message.rs
+++ b/crates/raildale-core/src/fleet_message.rs
@@ -50,8 +50,8 @@
     /// Whether it is ready for callers.
     #[prost(bool, tag = "4")]
     pub is_ready: bool,
-    /// The store's revision up to which it knows each kind, in the order of
-    /// the kinds' numbers.
+    /// The store's revision of the last change that it knows, by kind, in the
+    /// order of the kinds' numbers.
     #[prost(uint64, repeated, tag = "5")]
     pub revisions: Vec<u64>,
     /// Whether the store answers it, as far as it knows.
--- a/crates/raildale/src/fleet/agent/worker.rs
+++ b/crates/raildale/src/fleet/agent/worker.rs
@@ -250,7 +250,7 @@
         let _ = self.events.send(Event::Staged { version, is_done });
     }
 
-    /// The target's model; a log line if the store has not told it yet.
+    /// The target's model; a log line if nobody has told it yet.
     fn known_model(&self, purpose: &str) -> Option<Name> {
         let model = self.facts.model();
         if model.is_none() {
--- a/crates/raildale/src/fleet/entry/store_watch.rs
+++ b/crates/raildale/src/fleet/entry/store_watch.rs
@@ -1,4 +1,4 @@
-//! Keeps what is known of the store up to date.
+//! Keeps what is known of the store up to date, and the own entry in it.
 //!
 //! A few entry hosts of each data centre watch the store; the others hear
 //! from heartbeats that there are changes, and ask next door for them
--- a/crates/raildale/src/logs/mod.rs
+++ b/crates/raildale/src/logs/mod.rs
@@ -28,8 +28,10 @@
 /// The target of log records that are numbered events.
 const EVENT_TARGET: &str = "event";
 
+/// The lines of this process, whichever thread writes them.
 static LINES: LazyLock<Mutex<LineBound>> = LazyLock::new(Mutex::default);
 
+/// Counts a line of an event; says whether it is to be written.
 fn count(number: u32) -> Verdict {
     let mut lines = LINES.lock().unwrap_or_else(PoisonError::into_inner);
     lines.admit(now_ms(), number)
