Whom to ask for a kind is chosen apart from when to ask

What: Members::ahead leaves the choice of entry hosts to nearest_ahead and the revision in a heartbeat to known_revision. Why: forty lines held two questions, and the word place stood for a kind's number and for a drawn member.

--- a/crates/raildale-core/src/members.rs
+++ b/crates/raildale-core/src/members.rs
@@ -251,33 +251,34 @@
         let knows_some = own_revision > 0;
         let is_patient = knows_some && self.is_watcher(now_ms);
         let patience_ms = if is_patient { AHEAD_MS } else { 0 };
-        let place = kind.number() as usize;
-        let revision = |member: &Member| {
-            let heard = member.heard.as_ref()?;
-            heard.heartbeat.revisions.get(place).copied()
-        };
-        let ahead: Vec<&Member> = self
-            .others
-            .values()
-            .filter(|member| is_heard(member, now_ms))
-            .filter(|member| revision(member) > Some(own_revision))
-            .collect();
-        let is_here =
-            |m: &&Member| m.entry.data_centre == self.own.data_centre;
-        let mut asked: Vec<&Member> =
-            ahead.iter().copied().filter(is_here).collect();
-        if asked.is_empty() {
-            asked = ahead;
-        }
-        let place = draw.checked_rem(asked.len());
-        let Some(ip) = place.map(|place| asked[place].entry.ip) else {
+        let ahead = self.nearest_ahead(now_ms, kind, own_revision);
+        let Some(place) = draw.checked_rem(ahead.len()) else {
             self.behind_since_ms.remove(&kind);
             return None;
         };
+        let ip = ahead[place];
         let since_ms = *self.behind_since_ms.entry(kind).or_insert(now_ms);
         let is_due = now_ms.saturating_sub(since_ms) >= patience_ms;
         is_due.then_some(ip)
     }
+
+    /// Live entry hosts that are ahead of `own_revision` in a kind: those of
+    /// the own data centre, or all if there is none.
+    fn nearest_ahead(
+        &self,
+        now_ms: u64,
+        kind: Kind,
+        own_revision: u64,
+    ) -> Vec<IpAddr> {
+        let (here, elsewhere): (Vec<&Member>, Vec<&Member>) = self
+            .others
+            .values()
+            .filter(|member| is_heard(member, now_ms))
+            .filter(|member| known_revision(member, kind) > Some(own_revision))
+            .partition(|m| m.entry.data_centre == self.own.data_centre);
+        let nearest = if here.is_empty() { elsewhere } else { here };
+        nearest.into_iter().map(|member| member.entry.ip).collect()
+    }
 }
 
 /// Entry hosts for each data centre's callers, if all were shared evenly.
@@ -312,6 +313,13 @@
     helpers
 }
 
+/// The revision that a member's last heartbeat told of a kind.
+fn known_revision(member: &Member, kind: Kind) -> Option<u64> {
+    let heard = member.heard.as_ref()?;
+    let place = kind.number() as usize;
+    heard.heartbeat.revisions.get(place).copied()
+}
+
 fn is_heard(member: &Member, now_ms: u64) -> bool {
     heartbeat_within(member, now_ms, SILENT_MS).is_some()
 }
