An agent's reports: noting a reader and reading a briefing apart

What: Reports::receive leaves who briefs to note_reader, and the list of agents to peers_of; briefed is called events_of; the field 'such a briefing' stands below the briefing it means; the reason for rare reports stands at their constant. Why: the loop asked twice whether a briefing has a list without saying what that means, and the figure's doc did not say where it comes from.

--- a/crates/raildale/src/fleet/agent/reports.rs
+++ b/crates/raildale/src/fleet/agent/reports.rs
@@ -31,7 +31,8 @@
 /// configuration after a tenth of a second.
 const ASK_AGAIN: Duration = Duration::from_millis(60);
 
-/// Of this many regular reports, entry hosts of other data centres get one.
+/// Of this many regular reports, entry hosts of other data centres get one:
+/// these send little here, and bytes that cross are dear.
 const FAR_EVERY: u32 = 3;
 
 /// The entry hosts that want reports.
@@ -43,10 +44,10 @@
     facts: Rc<ServiceFacts>,
     /// When the last briefing with a list of agents came.
     listed_ms: Rc<Cell<u64>>,
-    /// Looks at the target so far.
-    looks: Rc<Cell<u32>>,
     /// Whether such a briefing ever came.
     is_briefed: Rc<Cell<bool>>,
+    /// Looks at the target so far.
+    looks: Rc<Cell<u32>>,
 }
 
 /// An entry host's last briefing.
@@ -74,8 +75,8 @@
             readers: Rc::default(),
             facts,
             listed_ms: Rc::new(Cell::new(now_ms())),
-            looks: Rc::default(),
             is_briefed: Rc::default(),
+            looks: Rc::default(),
         }
     }
 
@@ -104,29 +105,32 @@
         let mut notes = NoteReceiver::new(self.socket.clone());
         loop {
             let (note, from) = notes.next().await;
-            if let Note::Briefing(briefing) = note {
-                let reader = Reader {
-                    at_ms: now_ms(),
-                    sent_ms: briefing.sent_ms,
-                    is_near: !briefing.agents.is_empty(),
-                };
-                self.readers.borrow_mut().insert(from, reader);
-                self.facts.note_briefing(&briefing);
-                if !briefing.agents.is_empty() {
-                    self.listed_ms.set(now_ms());
-                    self.is_briefed.set(true);
-                }
-                for event in briefed(briefing) {
-                    // The loop that takes events ends with the process only.
-                    let _ = events.send(event);
-                }
+            let Note::Briefing(briefing) = note else { continue };
+            self.note_reader(from, &briefing);
+            self.facts.note_briefing(&briefing);
+            for event in events_of(&briefing) {
+                // The loop that takes events ends with the process only.
+                let _ = events.send(event);
             }
         }
     }
 
+    /// Notes that an entry host briefs, and so wants reports. Only those that
+    /// look after this data centre send a list of agents.
+    fn note_reader(&self, from: SocketAddr, briefing: &Briefing) {
+        let now = now_ms();
+        let is_near = !briefing.agents.is_empty();
+        let reader = Reader { at_ms: now, sent_ms: briefing.sent_ms, is_near };
+        self.readers.borrow_mut().insert(from, reader);
+        if is_near {
+            self.listed_ms.set(now);
+            self.is_briefed.set(true);
+        }
+    }
+
     /// Tells entry hosts what a regular look at the target found; the next
-    /// look is `look_ms` later. Those of other data centres send little
-    /// here, and bytes that cross are dear: they hear of every third look.
+    /// look is `look_ms` later. Those of other data centres hear of one look
+    /// in `FAR_EVERY`.
     pub async fn send_regularly(&self, report: &TargetReport, look_ms: u32) {
         let looks = self.looks.get();
         self.looks.set(looks.wrapping_add(1));
@@ -156,8 +160,8 @@
             if !reader.is_near && !is_far_due {
                 continue;
             }
-            let looks = if reader.is_near { 1 } else { FAR_EVERY };
-            message.every_ms = look_ms * looks;
+            let every = if reader.is_near { 1 } else { FAR_EVERY };
+            message.every_ms = look_ms * every;
             message.briefing_sent_ms = reader.sent_ms;
             message.briefing_age_ms = now - reader.at_ms;
             let note = frames::encode_note(Note::Report(message.clone()));
@@ -168,24 +172,11 @@
     }
 }
 
-fn briefed(briefing: Briefing) -> Vec<Event> {
+/// What a briefing tells the reducer.
+fn events_of(briefing: &Briefing) -> Vec<Event> {
     let now = now_ms();
     let mut events = Vec::new();
-    let centres: Vec<Name> =
-        briefing.data_centres.into_iter().map(Name::from).collect();
-    let peers: Vec<Peer> = briefing
-        .agents
-        .iter()
-        .filter_map(|agent| {
-            Some(Peer {
-                ip: IpAddr::V4(Ipv4Addr::from(agent.ip)),
-                data_centre: centres.get(agent.data_centre as usize)?.clone(),
-                whole_version: agent.whole_version,
-                serves_version: agent.serves_version,
-                is_slow: agent.is_slow,
-            })
-        })
-        .collect();
+    let peers = peers_of(briefing);
     if !peers.is_empty() {
         events.push(Event::Peers(peers));
     }
@@ -200,3 +191,26 @@
     });
     events
 }
+
+/// The agents that a briefing lists; without those whose data centre it does
+/// not name.
+fn peers_of(briefing: &Briefing) -> Vec<Peer> {
+    let centres: Vec<Name> = briefing
+        .data_centres
+        .iter()
+        .map(|centre| Name::from(centre.as_str()))
+        .collect();
+    briefing
+        .agents
+        .iter()
+        .filter_map(|agent| {
+            Some(Peer {
+                ip: IpAddr::V4(Ipv4Addr::from(agent.ip)),
+                data_centre: centres.get(agent.data_centre as usize)?.clone(),
+                whole_version: agent.whole_version,
+                serves_version: agent.serves_version,
+                is_slow: agent.is_slow,
+            })
+        })
+        .collect()
+}
