--- a/crates/raildale-core/src/gateway/targets.rs
+++ b/crates/raildale-core/src/gateway/targets.rs
@@ -254,8 +254,6 @@
         (0..count.max(LOOKED_AT_LEAST).min(all))
             .map(move |step| (first + step) % all)
             .map(|place| candidates[place])
-            .collect::<Vec<_>>()
-            .into_iter()
     }
 
     /// Entry hosts that choose among the same targets as this one.
