--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -22,7 +22,7 @@
 };
 
 use self::known_store::KnownStore;
-use super::{snapshots::EncodedSnapshots, upstream::Pool};
+use super::{snapshots::PackedSnapshots, upstream::Pool};
 use crate::{
     error::{Error, ErrorKind},
     fleet::{
@@ -61,8 +61,8 @@
     pub briefing_due: tokio::sync::Notify,
     /// What is known of the store.
     pub known: KnownStore,
-    /// Snapshots, encoded for other entry hosts.
-    pub encoded: RefCell<EncodedSnapshots>,
+    /// Snapshots, packed for other entry hosts.
+    pub packed: RefCell<PackedSnapshots>,
     /// Kinds that another entry host is being asked for.
     asking: RefCell<BTreeSet<Kind>>,
     started_ms: u64,
@@ -140,7 +140,7 @@
             address_ttl_s: ADDRESS_TTL_S.min(bounds.ttl_max_s),
             briefing_due: tokio::sync::Notify::new(),
             known: KnownStore::new(),
-            encoded: RefCell::default(),
+            packed: RefCell::default(),
             asking: RefCell::default(),
             started_ms: now_ms(),
             store_down_ms: Cell::new(None),
--- a/crates/raildale/src/fleet/entry/snapshots.rs
+++ b/crates/raildale/src/fleet/entry/snapshots/mod.rs
@@ -1,28 +1,23 @@
 //! Kinds of object handed from one entry host to another.
 //!
 //! Most entry hosts do not watch the store and hear of changes this way, and
-//! so does one that the store turns away. Objects travel deflated: a
-//! configuration of 1,600 routes is some hundred kilobytes of repetitive
-//! text, and the links of entry hosts carry callers' answers as well.
+//! so does one that the store turns away.
+//!
+//! * `packed`: snapshots as they travel.
+
+mod packed;
 
 use std::{
-    collections::BTreeMap,
-    io::{Read, Write},
     net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
 };
 
-use bytes::Bytes;
-use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use futures_util::{SinkExt, StreamExt};
-use prost::Message;
 use raildale_core::{
     LogEvent, Name,
-    catalog::{Kind, Snapshot, StoredObject},
-    fleet_message::{
-        AskSnapshot, FleetBody, GiveSnapshot, ObjectEntry, ObjectList,
-    },
+    catalog::Kind,
+    fleet_message::{AskSnapshot, FleetBody, GiveSnapshot},
 };
 use tokio::{
     io::{AsyncRead, AsyncWriteExt},
@@ -40,8 +35,7 @@
     },
 };
 
-/// Bytes of a kind's objects at most: pages of a megabyte, four of them.
-const MOST_UNPACKED_BYTES: u64 = 4 << 20;
+pub use self::packed::PackedSnapshots;
 
 /// How long a question may take.
 const ASK_TIMEOUT: Duration = Duration::from_millis(800);
@@ -107,7 +101,7 @@
     };
     let snapshot = host.known.snapshot(kind);
     let revision = snapshot.revision;
-    let packed = host.encoded.borrow_mut().packed(kind, snapshot)?;
+    let packed = host.packed.borrow_mut().pack(kind, snapshot)?;
     Ok(GiveSnapshot {
         kind: kind.number(),
         revision,
@@ -117,44 +111,6 @@
     })
 }
 
-/// The last snapshot of each kind, packed: many ask for the same.
-#[derive(Debug, Default)]
-pub struct EncodedSnapshots {
-    by_kind: BTreeMap<Kind, (u64, Bytes)>,
-}
-
-impl EncodedSnapshots {
-    /// The objects of a snapshot, encoded and deflated.
-    fn packed(
-        &mut self,
-        kind: Kind,
-        snapshot: Snapshot,
-    ) -> Result<Bytes, Error> {
-        if let Some((revision, packed)) = self.by_kind.get(&kind)
-            && *revision == snapshot.revision
-        {
-            return Ok(packed.clone());
-        }
-        let revision = snapshot.revision;
-        let packed = pack(&object_list(snapshot).encode_to_vec())?;
-        self.by_kind.insert(kind, (revision, packed.clone()));
-        Ok(packed)
-    }
-}
-
-fn pack(bytes: &[u8]) -> Result<Bytes, Error> {
-    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
-    encoder.write_all(bytes)?;
-    Ok(Bytes::from(encoder.finish()?))
-}
-
-fn unpack(packed: &[u8]) -> Result<Bytes, Error> {
-    let mut bytes = Vec::new();
-    let decoder = DeflateDecoder::new(packed);
-    decoder.take(MOST_UNPACKED_BYTES).read_to_end(&mut bytes)?;
-    Ok(Bytes::from(bytes))
-}
-
 /// The next frame of a connection.
 async fn next_body<S>(
     framed: &mut Framed<S, LengthDelimitedCodec>,
@@ -196,9 +152,7 @@
 where
     P: Dialect + Store + 'static,
 {
-    let list = ObjectList::decode(unpack(&give.packed)?)
-        .map_err(|error| Error::new(ErrorKind::Frame, error.to_string()))?;
-    let snapshot = snapshot(give.revision, list);
+    let snapshot = packed::unpack(give.revision, &give.packed)?;
     let detail = format!("kind={kind:?} revision={} from={ip}", give.revision);
     host.log(LogEvent::SnapshotTaken, &detail);
     let lapsed = give.lapsed.into_iter().map(Name::from).collect();
@@ -216,21 +170,3 @@
         _ => Err(Error::new(ErrorKind::Frame, "out of place")),
     }
 }
-
-fn object_list(snapshot: Snapshot) -> ObjectList {
-    let objects = snapshot.objects.into_iter().map(|object| ObjectEntry {
-        name: object.name.to_string(),
-        revision: object.revision,
-        body: object.body,
-    });
-    ObjectList { objects: objects.collect() }
-}
-
-fn snapshot(revision: u64, list: ObjectList) -> Snapshot {
-    let objects = list.objects.into_iter().map(|entry| StoredObject {
-        name: Name::from(entry.name),
-        revision: entry.revision,
-        body: entry.body,
-    });
-    Snapshot { revision, objects: objects.collect() }
-}
--- /dev/null
+++ b/crates/raildale/src/fleet/entry/snapshots/packed.rs
@@ -0,0 +1,92 @@
+//! Snapshots as they travel: encoded and deflated.
+//!
+//! A configuration of 1,600 routes is some hundred kilobytes of repetitive
+//! text, and the links of entry hosts carry callers' answers as well.
+
+use std::{
+    collections::BTreeMap,
+    io::{Read, Write},
+};
+
+use bytes::Bytes;
+use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
+use prost::Message;
+use raildale_core::{
+    Name,
+    catalog::{Kind, Snapshot, StoredObject},
+    fleet_message::{ObjectEntry, ObjectList},
+};
+
+use crate::error::{Error, ErrorKind};
+
+/// Bytes of a kind's objects at most: pages of a megabyte, four of them.
+const MOST_UNPACKED_BYTES: u64 = 4 << 20;
+
+/// The last snapshot of each kind, packed: many ask for the same.
+#[derive(Debug, Default)]
+pub struct PackedSnapshots {
+    by_kind: BTreeMap<Kind, (u64, Bytes)>,
+}
+
+impl PackedSnapshots {
+    /// The objects of a snapshot, packed; what was packed at the same
+    /// revision is used again.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Io`] if they cannot be deflated.
+    pub(super) fn pack(
+        &mut self,
+        kind: Kind,
+        snapshot: Snapshot,
+    ) -> Result<Bytes, Error> {
+        if let Some((revision, packed)) = self.by_kind.get(&kind)
+            && *revision == snapshot.revision
+        {
+            return Ok(packed.clone());
+        }
+        let revision = snapshot.revision;
+        let packed = deflate(&object_list(snapshot).encode_to_vec())?;
+        self.by_kind.insert(kind, (revision, packed.clone()));
+        Ok(packed)
+    }
+}
+
+/// The snapshot that holds packed objects.
+///
+/// # Errors
+///
+/// [`ErrorKind::Io`] if they cannot be inflated, [`ErrorKind::Frame`] if they
+/// are no list of objects.
+pub(super) fn unpack(revision: u64, packed: &[u8]) -> Result<Snapshot, Error> {
+    let list = ObjectList::decode(inflate(packed)?)
+        .map_err(|error| Error::new(ErrorKind::Frame, error.to_string()))?;
+    let objects = list.objects.into_iter().map(|entry| StoredObject {
+        name: Name::from(entry.name),
+        revision: entry.revision,
+        body: entry.body,
+    });
+    Ok(Snapshot { revision, objects: objects.collect() })
+}
+
+fn object_list(snapshot: Snapshot) -> ObjectList {
+    let objects = snapshot.objects.into_iter().map(|object| ObjectEntry {
+        name: object.name.to_string(),
+        revision: object.revision,
+        body: object.body,
+    });
+    ObjectList { objects: objects.collect() }
+}
+
+fn deflate(bytes: &[u8]) -> Result<Bytes, Error> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(bytes)?;
+    Ok(Bytes::from(encoder.finish()?))
+}
+
+fn inflate(packed: &[u8]) -> Result<Bytes, Error> {
+    let mut bytes = Vec::new();
+    let decoder = DeflateDecoder::new(packed);
+    decoder.take(MOST_UNPACKED_BYTES).read_to_end(&mut bytes)?;
+    Ok(Bytes::from(bytes))
+}
