The list of agents in a briefing is a type of its own

What: AgentList holds the agents and the data centres to which they refer by place, builds itself from the targets and takes in an agent that asks; what a briefing holds without its list is built in one place for both callers. Why: a pair of vectors travelled through four functions, the place of a data centre was found in two ways, and 'listed' meant the receiver of a list in one line and a target in the list of targets in the next.

--- a/crates/raildale/src/fleet/entry/briefings.rs
+++ b/crates/raildale/src/fleet/entry/briefings.rs
@@ -1,9 +1,6 @@
 //! Briefings: what an entry host tells the agents of a service.
 
-use std::{
-    collections::BTreeMap,
-    net::{IpAddr, Ipv4Addr},
-};
+use std::net::{IpAddr, Ipv4Addr};
 
 use raildale_core::{
     Name,
@@ -18,6 +15,68 @@
     steady_clock::now_ms,
 };
 
+/// The agents of a service, and the data centres to which they refer by
+/// place.
+#[derive(Debug)]
+struct AgentList {
+    agents: Vec<AgentEntry>,
+    data_centres: Vec<String>,
+}
+
+impl AgentList {
+    /// The agents of a service's targets, without those that are leaving.
+    fn of<P>(host: &EntryHost<P>, service: &Service) -> AgentList {
+        let now = now_ms();
+        let gateway = host.gateway.borrow();
+        let mut list =
+            AgentList { agents: Vec::new(), data_centres: Vec::new() };
+        for target in gateway.targets.iter() {
+            let spec = &target.spec;
+            let IpAddr::V4(ip) = spec.address.ip() else { continue };
+            if spec.service != service.name || spec.is_draining {
+                continue;
+            }
+            let report = target.report(now);
+            let data_centre = list.place_of(&spec.data_centre);
+            list.agents.push(AgentEntry {
+                ip: u32::from(ip),
+                data_centre,
+                whole_version: report.map_or(0, |r| r.whole_version),
+                serves_version: target.serves_version(now).unwrap_or(0),
+                is_slow: target.is_slow(now),
+            });
+        }
+        list
+    }
+
+    /// Adds the agent that asks, whose target may not be listed yet: a list
+    /// is never empty.
+    fn add_asker(&mut self, ip: u32, data_centre: &str) {
+        if self.agents.iter().any(|agent| agent.ip == ip) {
+            return;
+        }
+        let data_centre = self.place_of(data_centre);
+        let entry = AgentEntry { ip, data_centre, ..AgentEntry::default() };
+        self.agents.push(entry);
+    }
+
+    /// The place of a data centre, which is added if it is new.
+    fn place_of(&mut self, data_centre: &str) -> u32 {
+        let known = self.data_centres.iter().position(|c| c == data_centre);
+        let place = known.unwrap_or_else(|| {
+            self.data_centres.push(data_centre.to_string());
+            self.data_centres.len() - 1
+        });
+        place as u32
+    }
+
+    /// A briefing that holds this list as well.
+    fn put_into(self, briefing: Briefing) -> Briefing {
+        let AgentList { agents, data_centres } = self;
+        Briefing { agents, data_centres, ..briefing }
+    }
+}
+
 /// A briefing with its list, encoded, for the agent at `ip` that asks;
 /// `None` if no configuration tells of its service.
 pub fn one<P>(
@@ -31,37 +90,14 @@
     let routing = host.gateway.borrow().routing().cloned()?;
     let service = routing.service(&ask.service)?;
     let terms = terms(&routing, service)?;
-    let (mut agents, mut data_centres) = agents(host, service);
+    let mut list = AgentList::of(host, service);
     if let IpAddr::V4(ip) = ip {
-        add_asker(&mut agents, &mut data_centres, u32::from(ip), ask);
+        list.add_asker(u32::from(ip), &ask.data_centre);
     }
-    let versions = named(host, service);
-    let sent_ms = now_ms();
-    let briefing =
-        Briefing { versions, sent_ms, agents, data_centres, ..terms };
+    let briefing = list.put_into(short_briefing(host, service, terms));
     Some(frames::encode_note(Note::Briefing(briefing)))
 }
 
-/// Adds the agent that asks, whose target may not be listed yet: a list is
-/// never empty.
-fn add_asker(
-    agents: &mut Vec<AgentEntry>,
-    data_centres: &mut Vec<String>,
-    ip: u32,
-    ask: &AskBriefing,
-) {
-    if agents.iter().any(|agent| agent.ip == ip) {
-        return;
-    }
-    let known = data_centres.iter().position(|c| *c == ask.data_centre);
-    let place = known.unwrap_or_else(|| {
-        data_centres.push(ask.data_centre.clone());
-        data_centres.len() - 1
-    });
-    let data_centre = place as u32;
-    agents.push(AgentEntry { ip, data_centre, ..AgentEntry::default() });
-}
-
 /// A briefing, encoded, for each agent of a service whose weights are
 /// spread, and the agent's address.
 pub fn all<P>(host: &EntryHost<P>) -> Vec<(IpAddr, Vec<u8>)>
@@ -105,32 +141,38 @@
     service: &Service,
     terms: Briefing,
 ) -> Vec<(IpAddr, Vec<u8>)> {
-    let (agents, centres) = agents(host, service);
-    let versions = named(host, service);
-    let short = Briefing { versions, sent_ms: now_ms(), ..terms };
-    let listed: Vec<bool> = centres
+    let list = AgentList::of(host, service);
+    let short = short_briefing(host, service, terms);
+    // The list goes to the agents next door, and to those of data centres
+    // without a live entry host: bytes that cross are dear.
+    let gets_list: Vec<bool> = list
+        .data_centres
         .iter()
         .map(|centre| host.members.borrow().is_nearest(now_ms(), centre))
         .collect();
-    let full = Briefing {
-        agents: agents.clone(),
-        data_centres: centres,
-        ..short.clone()
-    };
+    let agents = list.agents.clone();
+    let full = list.put_into(short.clone());
     let short = frames::encode_note(Note::Briefing(short));
     let full = frames::encode_note(Note::Briefing(full));
     agents
         .iter()
         .map(|agent| {
-            // The list goes to the agents next door, and to those of data
-            // centres without a live entry host: bytes that cross are dear.
-            let is_listed = listed[agent.data_centre as usize];
-            let note = if is_listed { full.clone() } else { short.clone() };
+            let is_full = gets_list[agent.data_centre as usize];
+            let note = if is_full { full.clone() } else { short.clone() };
             (IpAddr::V4(Ipv4Addr::from(agent.ip)), note)
         })
         .collect()
 }
 
+/// A briefing of a service without its list of agents.
+fn short_briefing<P>(
+    host: &EntryHost<P>,
+    service: &Service,
+    terms: Briefing,
+) -> Briefing {
+    Briefing { versions: named(host, service), sent_ms: now_ms(), ..terms }
+}
+
 /// The versions of a service's models that were named, and how long ago.
 fn named<P>(host: &EntryHost<P>, service: &Service) -> Vec<Named> {
     let now = now_ms();
@@ -146,36 +188,3 @@
         })
         .collect()
 }
-
-/// The agents of a service, and the data centres to which they refer.
-fn agents<P>(
-    host: &EntryHost<P>,
-    service: &Service,
-) -> (Vec<AgentEntry>, Vec<String>) {
-    let now = now_ms();
-    let gateway = host.gateway.borrow();
-    let mut centres: BTreeMap<Name, u32> = BTreeMap::new();
-    let mut entries = Vec::new();
-    for target in gateway.targets.iter() {
-        let spec = &target.spec;
-        let IpAddr::V4(ip) = spec.address.ip() else { continue };
-        if spec.service != service.name || spec.is_draining {
-            continue;
-        }
-        let count = centres.len() as u32;
-        let place = *centres.entry(spec.data_centre.clone()).or_insert(count);
-        let report = target.report(now);
-        entries.push(AgentEntry {
-            ip: u32::from(ip),
-            data_centre: place,
-            whole_version: report.map_or(0, |r| r.whole_version),
-            serves_version: target.serves_version(now).unwrap_or(0),
-            is_slow: target.is_slow(now),
-        });
-    }
-    let mut names = vec![String::new(); centres.len()];
-    for (name, place) in centres {
-        names[place as usize] = name.to_string();
-    }
-    (entries, names)
-}
