Starting an agent: the first question stands apart

What: Agent::start leaves the question for a first briefing to introduce, and the drawn patience to unbriefed_ms; the field of that name says what it is. Why: the function was near fifty lines and mixed building the agent with what it says first; the field was the only one with a figure and had no line.

--- a/crates/raildale/src/fleet/agent/worker.rs
+++ b/crates/raildale/src/fleet/agent/worker.rs
@@ -27,7 +27,7 @@
     error::{Error, ErrorKind},
     fleet::{
         edge::{Dialect, Store, WeightOrigin, WeightTarget},
-        settings::FleetFile,
+        settings::{FleetFile, NodeSettings},
         steady_clock::now_ms,
     },
     logs,
@@ -66,6 +66,7 @@
     swarm: Swarm,
     facts: Rc<ServiceFacts>,
     store: Rc<StoreFacts<P>>,
+    /// Without a list of agents for this long it asks the store.
     unbriefed_ms: u64,
     calls: WeightCalls<P>,
     links: Links,
@@ -92,7 +93,8 @@
 where
     P: Dialect + Store + WeightTarget + WeightOrigin + 'static,
 {
-    /// Listens, and starts the tasks beside the loop.
+    /// Listens, and starts the tasks beside the loop: its server, and the
+    /// talk with entry hosts.
     async fn start(
         file: FleetFile,
         platform: P,
@@ -110,12 +112,7 @@
         let reports = Reports::new(socket, target.address, facts.clone());
         tokio::task::spawn_local(server.clone().run(listener));
         tokio::task::spawn_local(reports.clone().receive(events.clone()));
-        let seeds = file.node.seed_entry_hosts().collect();
-        let ask = AskBriefing {
-            service: target.service.clone(),
-            data_centre: file.node.data_centre.clone(),
-        };
-        tokio::task::spawn_local(reports.clone().introduce(seeds, ask));
+        introduce(&reports, &file.node, &target.service);
         let platform = Rc::new(platform);
         let store = StoreFacts::new(
             platform.clone(),
@@ -123,13 +120,12 @@
             facts.clone(),
             events.clone(),
         );
-        let spread_ms = rand::random_range(0..UNBRIEFED_SPREAD_MS);
         let agent = Agent {
             name: Name::from(file.node.name.as_str()),
             swarm: Swarm::new(swarm_config(&file)),
             facts,
             store: Rc::new(store),
-            unbriefed_ms: UNBRIEFED_MS + spread_ms,
+            unbriefed_ms: unbriefed_ms(),
             calls: WeightCalls::new(platform.clone(), events.clone()),
             links: Links::new(file.node.agent_port(), events.clone()),
             platform,
@@ -260,6 +256,21 @@
     }
 }
 
+/// Starts asking the seeds for the first briefing.
+fn introduce(reports: &Reports, node: &NodeSettings, service: &str) {
+    let seeds = node.seed_entry_hosts().collect();
+    let ask = AskBriefing {
+        service: service.to_string(),
+        data_centre: node.data_centre.clone(),
+    };
+    tokio::task::spawn_local(reports.clone().introduce(seeds, ask));
+}
+
+/// How long this agent waits for a list of agents, in milliseconds.
+fn unbriefed_ms() -> u64 {
+    UNBRIEFED_MS + rand::random_range(0..UNBRIEFED_SPREAD_MS)
+}
+
 fn swarm_config(file: &FleetFile) -> SwarmConfig {
     SwarmConfig {
         ip: file.node.ip,
