--- a/crates/raildale/src/logs/bound.rs
+++ b/crates/raildale/src/logs/bound.rs
@@ -26,6 +26,8 @@
 pub struct LineBound {
     window_ms: u64,
     lines: HashMap<u32, u32>,
+    /// Lines left out that nobody was told of yet.
+    untold: Vec<(u32, u32)>,
 }
 
 /// What becomes of a line.
@@ -46,16 +48,22 @@
 
     /// Counts a line of an event.
     pub fn admit(&mut self, now_ms: u64, number: u32) -> Verdict {
-        let left_out = self.roll(now_ms);
+        self.roll(now_ms);
         let count = self.lines.entry(number).or_default();
         *count += 1;
-        Verdict { is_written: *count <= most(number), left_out }
+        let is_written = *count <= most(number);
+        // A line that is no event cannot bring another one along.
+        let left_out = match number {
+            NO_EVENT => Vec::new(),
+            _ => std::mem::take(&mut self.untold),
+        };
+        Verdict { is_written, left_out }
     }
 
     /// Begins a new window if the last one is over.
-    fn roll(&mut self, now_ms: u64) -> Vec<(u32, u32)> {
+    fn roll(&mut self, now_ms: u64) {
         if now_ms < self.window_ms + WINDOW_MS {
-            return Vec::new();
+            return;
         }
         self.window_ms = now_ms;
         let mut left_out: Vec<(u32, u32)> = self
@@ -67,7 +75,7 @@
             })
             .collect();
         left_out.sort_unstable();
-        left_out
+        self.untold.append(&mut left_out);
     }
 }
 
--- a/crates/raildale/src/logs/queue.rs
+++ b/crates/raildale/src/logs/queue.rs
@@ -34,6 +34,8 @@
     text: Vec<u8>,
     left_out: u64,
     is_writing: bool,
+    /// Nobody reads any more.
+    is_closed: bool,
 }
 
 /// Lines taken from the queue together.
@@ -55,6 +57,9 @@
     /// reader.
     pub fn push(&self, line: &[u8]) {
         let mut state = self.lock();
+        if state.is_closed {
+            return;
+        }
         if state.text.len() + line.len() + 1 > MOST_BYTES {
             state.left_out += 1;
             return;
@@ -83,6 +88,13 @@
         Batch { text: std::mem::take(&mut state.text), left_out }
     }
 
+    /// Drops what waits and all that comes: nobody reads any more.
+    fn close(&self) {
+        let mut state = self.lock();
+        *state = State { is_closed: true, ..State::default() };
+        self.changed.notify_all();
+    }
+
     /// Waits until all lines are written, or for `most`.
     fn wait_written(&self, most: Duration) {
         let state = self.lock();
@@ -133,7 +145,7 @@
             written = written.and_then(|()| writeln!(out, "{text}"));
         }
         if written.and_then(|()| out.flush()).is_err() {
-            // Nobody reads any more: later lines are dropped by the queue.
+            queue.close();
             return;
         }
         drop(out);
--- a/crates/raildale/tests/logs.rs
+++ b/crates/raildale/tests/logs.rs
@@ -1,6 +1,9 @@
 //! Log lines are bounded, and a reader that stalls holds nobody up.
 
-use raildale::logs::{bound::LineBound, queue::LineQueue};
+use raildale::logs::{
+    bound::{LineBound, NO_EVENT},
+    queue::LineQueue,
+};
 use raildale_core::LogEvent;
 
 const START_MS: u64 = 1_000_000;
@@ -19,6 +22,8 @@
     }
     assert!(written[1] < written[0], "refusals before successes");
     assert!(written[0] <= 200, "{written:?}");
+    let plain = bound.admit(START_MS + 1_000, NO_EVENT);
+    assert_eq!(plain.left_out, [], "a line that is no event tells nothing");
     let next = bound.admit(START_MS + 1_000, refused);
     let left_out = [(done, 1_000 - written[1]), (refused, 1_000 - written[0])];
     assert_eq!(next.left_out, left_out);
