--- a/crates/raildale/src/fleet/entry/store_watch.rs
+++ b/crates/raildale/src/fleet/entry/store_watch.rs
@@ -21,6 +21,10 @@
 /// was missed.
 const WAIT_MS: u64 = 10_000;
 
+/// How long a watch waits that is to tell whether the store is back, in
+/// milliseconds: as short as the store takes it.
+const RETURN_WAIT_MS: u64 = 1;
+
 /// Pause after changes of the list of targets, so that one call brings
 /// several: calls of the store are dear, and a target may leave within two
 /// seconds.
@@ -65,7 +69,7 @@
         }
         let result = match must_list {
             true => list(&host, kind).await,
-            false => next_changes(&host, kind).await,
+            false => next_changes(&host, kind, wait_ms(failures)).await,
         };
         match result {
             Ok(()) => {
@@ -98,12 +102,13 @@
 async fn next_changes<P>(
     host: &EntryHost<P>,
     kind: Kind,
+    wait_ms: u64,
 ) -> Result<(), StoreFailure>
 where
     P: Dialect + Store + 'static,
 {
     let revision = host.known.revision(kind);
-    let found = host.platform.watch(kind, revision, WAIT_MS).await?;
+    let found = host.platform.watch(kind, revision, wait_ms).await?;
     host.metrics.add("store_calls_total", "", 1);
     let is_news = !found.changes.is_empty();
     host.apply(kind, found.revision, found.changes);
@@ -113,6 +118,16 @@
     Ok(())
 }
 
+/// How long the next watch waits. One after a failure hardly does: it tells
+/// that the store is back, and when; a long one would tell so only with the
+/// next change, which would then be taken for a lapse.
+fn wait_ms(failures: u32) -> u64 {
+    match failures {
+        0 => WAIT_MS,
+        _ => RETURN_WAIT_MS,
+    }
+}
+
 fn backoff(failures: u32) -> Duration {
     let most = BACKOFF_LEAST_MS << failures.min(4);
     let most = most.min(BACKOFF_MOST_MS);
