The bounds of a request's versions are worked out in one place

Read in the diff: choosing a target and looking for room elsewhere each turned an absent model into no bounds. version_bounds does that itself now.

--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -227,9 +227,14 @@
 
     /// The versions of a model, with the time left until nothing older may
     /// start.
-    fn version_bounds(&self, now_ms: u64, model: &str) -> Vec<VersionBound> {
+    fn version_bounds(
+        &self,
+        now_ms: u64,
+        model: Option<&str>,
+    ) -> Vec<VersionBound> {
         let bound_ms = self.config.version_ms;
-        let named = self.versions.get(model).map_or(&[][..], |v| v);
+        let named = model.and_then(|model| self.versions.get(model));
+        let named = named.map_or(&[][..], |v| v);
         if bound_ms == 0 {
             return Vec::new();
         }
@@ -338,8 +343,7 @@
             return Next::Refuse(self.give_up(request, Code::TargetBusy));
         }
         let model = request.model.as_deref();
-        let bounds = model
-            .map_or_else(Vec::new, |model| self.version_bounds(now_ms, model));
+        let bounds = self.version_bounds(now_ms, model);
         let least_version =
             model.map_or(0, |model| self.least_version(now_ms, model, 0));
         let waited_ms = now_ms.saturating_sub(request.arrived_ms);
@@ -392,8 +396,7 @@
     /// now.
     fn has_room_elsewhere(&self, now_ms: u64, request: &Admission) -> bool {
         let model = request.model.as_deref();
-        let bounds = model
-            .map_or_else(Vec::new, |model| self.version_bounds(now_ms, model));
+        let bounds = self.version_bounds(now_ms, model);
         let need = self.need(now_ms, request, &bounds);
         self.targets.any_has_room(now_ms, need)
     }
