Load model: the entry hosts' decisions over simulated engines, in virtual time

Every entry host of the model is the product's Gateway; engines work in passes, agents report late, callers come back. It prints what callers got by route, organisation and data centre beside a bound that no policy exceeds, writes comma-separated values and a page with plots, and sets two results side by side.

--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -60,6 +60,8 @@
     /// Whether it seems to have been refused before: its caller waits less
     /// than the route allows.
     pub is_back: bool,
+    /// When it was first sent to a target; until then, when it came.
+    pub sent_ms: u64,
     /// Where it is counted among those that wait here.
     pub place: Place,
     /// Targets that it was sent to, oldest first.
@@ -369,6 +371,7 @@
             service,
             model: head.model.clone(),
             arrived_ms: now_ms,
+            sent_ms: now_ms,
             place: Place::Nowhere,
             tried: Vec::new(),
             may_have_run: false,
@@ -432,6 +435,9 @@
             return Next::Refuse(self.give_up(request, Code::TargetBusy));
         }
         self.room.note_sent(now_ms, request);
+        if !is_repeat {
+            request.sent_ms = now_ms;
+        }
         request.tried.push(dispatch.target.clone());
         self.targets.note_sent(&dispatch.target);
         Next::Send(dispatch)
--- a/crates/raildale-testkit/src/bin/raildale-bench.rs
+++ b/crates/raildale-testkit/src/bin/raildale-bench.rs
@@ -1,6 +1,10 @@
 //! The load and experiment tool.
 
-use std::{future::Future, path::PathBuf, process::ExitCode};
+use std::{
+    future::Future,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 use bpaf::Bpaf;
 use raildale::cli::daemon::{self, DaemonArgs};
@@ -13,6 +17,7 @@
         settings_race::{self, RaceConfig},
     },
     caller::Tally,
+    load::{self, LoadResult, Pattern},
 };
 use serde::Serialize;
 
@@ -51,6 +56,22 @@
         /// Lose the platform's answer to one update in five
         lose_answers: bool,
     },
+    /// Play a load pattern on the decisions, in virtual time
+    #[bpaf(command)]
+    Load(#[bpaf(external(load_args))] LoadArgs),
+    /// Set two results of load patterns side by side
+    #[bpaf(command)]
+    Compare {
+        /// Where the page goes
+        #[bpaf(argument("HTML"))]
+        page: PathBuf,
+        /// A result, as load writes it with --json
+        #[bpaf(positional("A"))]
+        first: PathBuf,
+        /// Another
+        #[bpaf(positional("B"))]
+        second: PathBuf,
+    },
     #[bpaf(command("node-entry"), hide)]
     NodeEntry(#[bpaf(external(node_args))] DaemonArgs),
     #[bpaf(command("node-agent"), hide)]
@@ -112,6 +133,25 @@
     seconds: u64,
 }
 
+#[derive(Clone, Debug, Bpaf)]
+struct LoadArgs {
+    /// Seeds to play, from 1 on
+    #[bpaf(argument("N"), fallback(1), display_fallback)]
+    seeds: u64,
+    /// Write every group of the last seed as comma-separated values
+    #[bpaf(argument("FILE"))]
+    csv: Option<PathBuf>,
+    /// Write the last seed's result, to compare
+    #[bpaf(argument("FILE"))]
+    json: Option<PathBuf>,
+    /// Write a page with a plot for each seed
+    #[bpaf(argument("FILE"))]
+    page: Option<PathBuf>,
+    /// The pattern
+    #[bpaf(positional("FILE"))]
+    file: PathBuf,
+}
+
 fn node_args() -> impl bpaf::Parser<DaemonArgs> {
     let settings = bpaf::long("settings").argument("FILE");
     bpaf::construct!(DaemonArgs { settings, check(bpaf::pure(false)) })
@@ -124,6 +164,10 @@
         Args::Burst(args) => run_burst(args),
         Args::Capacity(args) => run_capacity(args),
         Args::Rolling { entries, hosts } => run_rolling(entries, hosts),
+        Args::Load(args) => ended(run_load(&args)),
+        Args::Compare { page, first, second } => {
+            ended(compare(&page, [&first, &second]))
+        }
         Args::Settings { entries, hosts, rounds, lose_answers } => {
             run_settings(RaceConfig {
                 program: this_program(),
@@ -192,6 +236,43 @@
     })
 }
 
+fn run_load(args: &LoadArgs) -> anyhow::Result<()> {
+    let pattern = Pattern::read(&args.file)?;
+    let seeds = 1..=args.seeds.max(1);
+    let results: Vec<LoadResult> =
+        seeds.map(|seed| load::play(&pattern, seed)).collect();
+    for result in &results {
+        println!("{result}");
+    }
+    let Some(last) = results.last() else { return Ok(()) };
+    if let Some(path) = &args.csv {
+        std::fs::write(path, last.csv())?;
+    }
+    if let Some(path) = &args.json {
+        std::fs::write(path, serde_json::to_string(last)?)?;
+    }
+    if let Some(path) = &args.page {
+        std::fs::write(path, load::page::page(&results))?;
+    }
+    Ok(())
+}
+
+fn compare(page: &Path, files: [&PathBuf; 2]) -> anyhow::Result<()> {
+    let mut results: Vec<LoadResult> = Vec::new();
+    for file in files {
+        results.push(serde_json::from_slice(&std::fs::read(file)?)?);
+    }
+    std::fs::write(page, load::page::page(&results))?;
+    Ok(())
+}
+
+fn ended(result: anyhow::Result<()>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error),
+    }
+}
+
 /// Runs an experiment; what must always hold decides the exit code, figures
 /// do not.
 fn run<T>(
--- a/crates/raildale-testkit/src/lib.rs
+++ b/crates/raildale-testkit/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fleet;
 pub mod http_server;
 pub mod links;
+pub mod load;
 pub mod origin;
 pub mod plain;
 pub mod platform;
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -484,11 +484,13 @@
         self.host.metrics.record("request_ms", "", took_ms);
         let detail = format!(
             "id={} route={} target={target} status={} tries={} \
-             took_ms={took_ms} {pace}",
+             took_ms={took_ms} waited_ms={} is_back={} {pace}",
             self.head.id,
             self.request.route.name,
             status.as_u16(),
             self.request.tried.len(),
+            self.request.sent_ms.saturating_sub(self.request.arrived_ms),
+            self.request.is_back,
         );
         self.host.log(LogEvent::RequestDone, &detail);
     }
