What others wait for is fetched whatever the own window

Cause: agents that were filled late keep a window of one transfer; as owner of a chunk such an agent asked for one awaited chunk at a time, and its data centre waited: side-ktm-a-6 held 0 of 64 chunks 1.2 s after the naming, six others waiting. Test: what_others_wait_for_is_not_held_up_by_a_slow_link (0 of 6 asked for before).

--- a/crates/raildale-core/src/swarm/reducer/transfers.rs
+++ b/crates/raildale-core/src/swarm/reducer/transfers.rs
@@ -72,6 +72,8 @@
         let busy = |may_wait: bool| -> usize {
             self.versions.values().map(|held| held.fetches(may_wait)).sum()
         };
+        let awaited: usize =
+            self.versions.values().map(Version::fetches_awaited).sum();
         let from_origin: usize =
             self.versions.values().map(Version::fetches_from_origin).sum();
         let usable = self.origin_connections * ORIGIN_SHARE_PERCENT / 100;
@@ -82,6 +84,7 @@
                 .window
                 .share(WAITING_MOST)
                 .saturating_sub(busy(true)),
+            awaited: WAITING_MOST.saturating_sub(awaited),
             from_origin: most.saturating_sub(from_origin),
         }
     }
@@ -172,13 +175,17 @@
     at_once: usize,
     /// From sources that may have to wait for it first.
     waiting: usize,
+    /// The same, of items that others wait for. A window that has shrunk does
+    /// not bound these: with one at a time, an owner whose window was left at
+    /// 1 by its first fill held up its whole data centre for 2 s.
+    awaited: usize,
     /// From the origin.
     from_origin: usize,
 }
 
 impl Room {
     fn is_full(self) -> bool {
-        self.at_once == 0 && self.waiting == 0
+        self.at_once == 0 && self.waiting == 0 && self.awaited == 0
     }
 }
 
@@ -227,7 +234,8 @@
         let hops = slot.waiters.iter().map(|w| w.hops + 1).max().unwrap_or(0);
         let source = self.pick(version, item, slot.failures, hops);
         let may_wait = !self.sources.holds(source, version);
-        if !self.take_room(item, source, may_wait) {
+        let is_awaited = !slot.waiters.is_empty();
+        if !self.take_room(item, source, may_wait, is_awaited) {
             return;
         }
         let patience_ms = match may_wait {
@@ -262,6 +270,7 @@
         item: Item,
         source: Source,
         may_wait: bool,
+        is_awaited: bool,
     ) -> bool {
         if source == Source::Origin {
             if self.room.from_origin == 0 {
@@ -274,9 +283,10 @@
             // waits behind the chunks of another version.
             return true;
         }
-        let place = match may_wait {
-            true => &mut self.room.waiting,
-            false => &mut self.room.at_once,
+        let place = match (may_wait, is_awaited) {
+            (true, true) => &mut self.room.awaited,
+            (true, false) => &mut self.room.waiting,
+            (false, _) => &mut self.room.at_once,
         };
         if *place == 0 {
             return false;
--- a/crates/raildale-core/src/swarm/version.rs
+++ b/crates/raildale-core/src/swarm/version.rs
@@ -141,6 +141,17 @@
             .count()
     }
 
+    /// Transfers of chunks under way that others wait for, from sources that
+    /// may have to wait themselves.
+    pub fn fetches_awaited(&self) -> usize {
+        let awaited =
+            self.slots.iter().filter(|slot| !slot.waiters.is_empty());
+        awaited
+            .filter_map(|slot| slot.fetch)
+            .filter(|fetch| fetch.may_wait)
+            .count()
+    }
+
     /// Transfers from the origin under way, the manifest's among them.
     pub fn fetches_from_origin(&self) -> usize {
         std::iter::once(&self.manifest)
--- a/crates/raildale-core/tests/swarm_runs.rs
+++ b/crates/raildale-core/tests/swarm_runs.rs
@@ -8,9 +8,11 @@
 use std::collections::BTreeMap;
 
 use raildale_core::swarm::{
-    Effect, Event, Item, Peer, Ticket, reducer::Content,
+    Effect, Event, Item, Peer, Source, Ticket, reducer::Content,
+};
+use swarm_world::{
+    Faults, START_MS, World, agent, centre, chunk, digests, ip, layout,
 };
-use swarm_world::{Faults, START_MS, World, agent, centre, ip, layout};
 use yare::parameterized;
 
 fn none() -> Faults {
@@ -139,6 +141,44 @@
     assert!(asks_manifest, "the version is still fetched: {effects:?}");
 }
 
+/// Chunks that came slowly leave an agent's window at one transfer. What
+/// others wait for takes no room on its link until it comes, and has to be
+/// asked for all the same: a data centre waited 2 s for such an owner.
+#[test]
+fn what_others_wait_for_is_not_held_up_by_a_slow_link() {
+    let mut world = World::new(5, 12, 1, none());
+    world.run_for(1_000);
+    let now_ms = world.now_ms;
+    let swarm = &mut world.machines[0].swarm;
+    let mut effects = Vec::new();
+    for index in 0..6 {
+        let source = Source::Peer(ip(1));
+        let result = Ok(chunk(1, index));
+        let took_ms = 1_000;
+        let slow =
+            Event::Chunk { version: 1, index, source, result, took_ms };
+        swarm.reduce(now_ms, slow, &mut effects);
+    }
+    let named = Event::Named { version: 2, named_ms: now_ms };
+    swarm.reduce(now_ms, named, &mut effects);
+    let result = Ok(digests(2));
+    let source = Source::Origin;
+    let manifest = Event::Manifest { version: 2, source, result };
+    swarm.reduce(now_ms, manifest, &mut effects);
+    effects.clear();
+    for index in 0..6 {
+        let item = Item::Chunk(index);
+        let ticket = Ticket(u64::from(index));
+        let asked = Event::Asked { ticket, version: 2, item, hops: 0 };
+        swarm.reduce(now_ms, asked, &mut effects);
+    }
+    let asked_for = effects
+        .iter()
+        .filter(|effect| matches!(effect, Effect::Fetch { version: 2, .. }))
+        .count();
+    assert!(asked_for >= 5, "{asked_for} of 6: {effects:?}");
+}
+
 #[test]
 fn chunks_that_lay_staged_for_long_are_staged_anew() {
     let mut world = World::new(3, 2, 1, none());
