Whoever has to be sent first goes first

Change: an ordered queue of each service, by the time when a request's goal passes; late ones by the time when they came, after those that can be in time. One that a target has had already waits beside it.

--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -9,7 +9,9 @@
     shares::{Sender, Shares},
     target::{Outcome, Target},
     targets::{Need, Targets, VersionBound},
-    waiting::{Place, RETRY_AFTER_LEAST_MS, Situation, Verdict, WaitingRoom},
+    waiting::{
+        Place, RETRY_AFTER_LEAST_MS, Situation, Turn, Verdict, WaitingRoom,
+    },
 };
 use crate::{Code, Name};
 
@@ -66,6 +68,8 @@
     pub sent_ms: u64,
     /// Where it is counted among those that wait here.
     pub place: Place,
+    /// Its last turn among them, if it ever waited.
+    pub turn: Option<Turn>,
     /// Targets that it was sent to, oldest first.
     pub tried: Vec<Name>,
     /// Whether it has begun at the target that has it.
@@ -75,6 +79,17 @@
 }
 
 impl Admission {
+    /// Its number among those that have waited here; the last one of all if
+    /// it has not.
+    pub fn number(&self) -> u64 {
+        self.turn.map_or(u64::MAX, |(_, number)| number)
+    }
+
+    /// Its turn among those that can be in time.
+    pub fn in_time_turn(&self, goal_at_ms: u64) -> Turn {
+        (goal_at_ms, self.number())
+    }
+
     /// Whether another target may be asked after one answered with a failure
     /// of its own.
     pub fn may_ask_another(&self) -> bool {
@@ -393,6 +408,7 @@
             arrived_ms: now_ms,
             sent_ms: now_ms,
             place: Place::Nowhere,
+            turn: None,
             tried: Vec::new(),
             has_begun: false,
             may_have_run: false,
@@ -438,7 +454,10 @@
             model.map_or(0, |model| self.least_version(now_ms, model, 0));
         let need = self.need(now_ms, request, &bounds);
         let is_late = need.is_late;
-        let picked = self.targets.pick(now_ms, need, draw);
+        let picked = match self.room.is_next(now_ms, request) {
+            true => self.targets.pick(now_ms, need, draw),
+            false => None,
+        };
         let Some(target) = picked else {
             let is_full = self.targets.any_fits(now_ms, need);
             return self.wait_or_refuse(now_ms, request, since_ms, is_full);
--- a/crates/raildale-core/src/gateway/waiting.rs
+++ b/crates/raildale-core/src/gateway/waiting.rs
@@ -6,7 +6,7 @@
 //! and waits only if others like it are being served fast enough. Everybody
 //! else is refused at once.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use super::{admission::Admission, fading::Fading, routes::RouteKind};
 use crate::Name;
@@ -15,6 +15,8 @@
 #[derive(Debug, Default)]
 pub struct WaitingRoom {
     queues: HashMap<Name, Queue>,
+    /// Requests that have waited here so far.
+    entered: u64,
 }
 
 /// How a request waits.
@@ -29,11 +31,17 @@
     Late,
 }
 
+/// When it is a waiting request's turn: the time that decides, and its number
+/// among those that have waited here.
+pub type Turn = (u64, u64);
+
 /// Requests for one service.
 #[derive(Debug)]
 struct Queue {
-    in_time: u32,
-    late: u32,
+    /// By the time when they have to be sent.
+    in_time: BTreeSet<Turn>,
+    /// By the time when they came.
+    late: BTreeSet<Turn>,
     /// Late requests that were sent to a target.
     late_sent: Fading,
     /// From sending a request to its first event, in milliseconds.
@@ -96,8 +104,8 @@
 impl Default for Queue {
     fn default() -> Queue {
         Queue {
-            in_time: 0,
-            late: 0,
+            in_time: BTreeSet::new(),
+            late: BTreeSet::new(),
             late_sent: Fading::new(HALF_LIFE_MS),
             first_event_ms: Fading::new(HALF_LIFE_MS),
         }
@@ -105,7 +113,7 @@
 }
 
 impl Queue {
-    fn count_mut(&mut self, place: Place) -> Option<&mut u32> {
+    fn turns_mut(&mut self, place: Place) -> Option<&mut BTreeSet<Turn>> {
         match place {
             Place::Nowhere => None,
             Place::InTime => Some(&mut self.in_time),
@@ -113,6 +121,12 @@
         }
     }
 
+    /// Those that wait and are to be sent before a request that can be in
+    /// time and has to be sent by `turn`.
+    fn before(&self, turn: Turn) -> u32 {
+        self.in_time.range(..turn).count() as u32
+    }
+
     fn first_event_ms(&self, now_ms: u64) -> u64 {
         let seen = &self.first_event_ms;
         seen.mean(now_ms, FIRST_EVENT_MS, FIRST_EVENT_GUESSES) as u64
@@ -122,10 +136,10 @@
     /// if none is being sent.
     fn late_ms(&self, now_ms: u64) -> Option<u64> {
         let rate_per_s = self.late_sent.rate_per_s(now_ms);
-        match self.late {
+        match self.late.len() {
             0 => Some(0),
             late => {
-                let ms = f64::from(late) * 1e3 / rate_per_s;
+                let ms = late as f64 * 1e3 / rate_per_s;
                 ms.is_finite().then_some(ms as u64)
             }
         }
@@ -138,27 +152,64 @@
         WaitingRoom::default()
     }
 
-    /// Counts a request in, in one place.
+    /// Puts a request into one place of its service's queue. One that some
+    /// target has had already has fewer to go to: it waits beside the queue.
     pub fn enter(&mut self, request: &mut Admission, place: Place) {
-        self.leave(request);
-        let name = request.service.name.clone();
-        if let Some(count) =
-            self.queues.entry(name).or_default().count_mut(place)
-        {
-            *count += 1;
+        if request.place == place {
+            return;
         }
+        self.leave(request);
         request.place = place;
+        if !request.tried.is_empty() {
+            return;
+        }
+        if request.turn.is_none() {
+            self.entered += 1;
+        }
+        let number = request.turn.map_or(self.entered, |(_, number)| number);
+        let turn = match place {
+            Place::InTime => (goal_at_ms(request), number),
+            Place::Nowhere | Place::Late => (request.arrived_ms, number),
+        };
+        let queue = self.queues.entry(request.service.name.clone());
+        if let Some(turns) = queue.or_default().turns_mut(place) {
+            turns.insert(turn);
+        }
+        request.turn = Some(turn);
     }
 
-    /// Counts a request out, if it was in.
+    /// Takes a request out of the queue, if it was in.
     pub fn leave(&mut self, request: &mut Admission) {
         let queue = self.queues.get_mut(&request.service.name);
-        if let Some(count) = queue.and_then(|q| q.count_mut(request.place)) {
-            *count = count.saturating_sub(1);
+        let turns = queue.and_then(|queue| queue.turns_mut(request.place));
+        if let (Some(turns), Some(turn)) = (turns, request.turn) {
+            turns.remove(&turn);
         }
         request.place = Place::Nowhere;
     }
 
+    /// Whether no other request is to be sent first.
+    pub fn is_next(&self, now_ms: u64, request: &Admission) -> bool {
+        let Some(queue) = self.queues.get(&request.service.name) else {
+            return true;
+        };
+        if !request.tried.is_empty() {
+            return true;
+        }
+        let is_other = |turn: &&Turn| Some(**turn) != request.turn;
+        let first = queue.in_time.iter().find(is_other);
+        match self.is_late(now_ms, request) {
+            false => first.is_none_or(|first| {
+                *first >= request.in_time_turn(goal_at_ms(request))
+            }),
+            true => {
+                let own = (request.arrived_ms, request.number());
+                first.is_none()
+                    && queue.late.first().is_none_or(|first| *first >= own)
+            }
+        }
+    }
+
     /// Notes that a request was sent to a target.
     pub fn note_sent(&mut self, now_ms: u64, request: &Admission) {
         if self.is_late(now_ms, request) {
@@ -219,8 +270,9 @@
     /// Milliseconds until those that wait here have all been taken.
     fn queue_ms(&self, request: &Admission, rate_per_s: f64) -> u64 {
         let queue = self.queues.get(&request.service.name);
-        let waiting = queue.map_or(0, |queue| queue.in_time + queue.late);
-        time_ms(waiting, rate_per_s)
+        let waiting =
+            queue.map_or(0, |queue| queue.in_time.len() + queue.late.len());
+        time_ms(waiting as u32, rate_per_s)
     }
 
     /// Whether a request will be in time behind those that can be as well.
@@ -234,10 +286,8 @@
             return false;
         }
         let queue = self.queues.get(&request.service.name);
-        let ahead = match request.place {
-            Place::InTime => 0,
-            Place::Nowhere | Place::Late => queue.map_or(0, |q| q.in_time),
-        };
+        let turn = request.in_time_turn(goal_at_ms(request));
+        let ahead = queue.map_or(0, |queue| queue.before(turn));
         let taken_ms = now_ms.saturating_sub(request.arrived_ms)
             + time_ms(ahead, rate_per_s)
             + self.first_event_ms(now_ms, request);
@@ -273,6 +323,11 @@
     }
 }
 
+/// When a request has to have its first event.
+fn goal_at_ms(request: &Admission) -> u64 {
+    request.arrived_ms + request.route.goal_ms
+}
+
 /// Milliseconds that `count` requests take.
 fn time_ms(count: u32, rate_per_s: f64) -> u64 {
     (f64::from(count) * 1e3 / rate_per_s.max(1.0)) as u64
--- a/crates/raildale-core/tests/gateway.rs
+++ b/crates/raildale-core/tests/gateway.rs
@@ -527,6 +527,7 @@
         let mut request = admit(&mut gateway, "/deep/");
         let next = gateway.next(START_MS, &mut request, START_MS, 0);
         let is_sent = sent(next).is_some();
+        gateway.stop_waiting(&mut request);
         unbegun.push(is_sent.then_some(request));
     }
     let counts = unbegun.iter().flatten().count();
@@ -539,6 +540,26 @@
     assert!(matches!(next, Next::Send(_)), "one has begun: {next:?}");
 }
 
+/// Whoever has to be sent first goes first, whoever looks first.
+#[test]
+fn the_request_that_is_due_first_gets_the_slot_that_frees() {
+    let mut gateway = full_gateway(8);
+    let mut first = admit(&mut gateway, "/deep/");
+    let next = gateway.next(START_MS, &mut first, START_MS, 0);
+    assert!(matches!(next, Next::Wait(_)), "{next:?}");
+    let later_ms = START_MS + 60;
+    let mut second =
+        gateway.admit(later_ms, &head("/deep/"), 0).expect("it is let in");
+    let next = gateway.next(later_ms, &mut second, later_ms, 0);
+    assert!(matches!(next, Next::Wait(_)), "{next:?}");
+    let free_ms = START_MS + 80;
+    report_running(&mut gateway, free_ms, 7);
+    let next = gateway.next(free_ms, &mut second, later_ms, 0);
+    assert!(matches!(next, Next::Wait(_)), "not its turn: {next:?}");
+    let next = gateway.next(free_ms, &mut first, START_MS, 0);
+    assert!(matches!(next, Next::Send(_)), "{next:?}");
+}
+
 /// As many late ones wait as are served before their callers leave.
 #[test]
 fn late_requests_wait_while_others_are_served() {
