A stream that goes on is judged by its next event

Cause: a stream that was cut in a change-over was late by its first try's goal, got the last urgency and only what others left over: 119 of 180 paused for over 300 ms. Change: it is in time if its next event is within the pause that its route allows; it is then more urgent at its target than first events.

--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -72,6 +72,9 @@
     pub turn: Option<Turn>,
     /// Targets that it was sent to, oldest first.
     pub tried: Vec<Name>,
+    /// When the last event of its answer left, if it is a stream that broke
+    /// off and is to go on.
+    pub last_event_ms: Option<u64>,
     /// Whether it has begun at the target that has it.
     pub has_begun: bool,
     /// Whether some target may have run it.
@@ -204,6 +207,10 @@
 /// milliseconds: heartbeats tell it every 400 ms.
 const DEMAND_HALF_LIFE_MS: f64 = 1_500.0;
 
+/// Urgency of a stream that goes on: its next event is due before the first
+/// one of any other.
+const URGENCY_GOES_ON: u8 = 2;
+
 /// Urgency of a request that can still be in time.
 const URGENCY_IN_TIME: u8 = 3;
 
@@ -410,6 +417,7 @@
             place: Place::Nowhere,
             turn: None,
             tried: Vec::new(),
+            last_event_ms: None,
             has_begun: false,
             may_have_run: false,
         })
@@ -466,7 +474,11 @@
             target: target.spec.id.clone(),
             address: target.spec.address,
             version: unconfirmed_version(target, now_ms, least_version),
-            urgency: if is_late { URGENCY_LATE } else { URGENCY_IN_TIME },
+            urgency: match (is_late, request.last_event_ms) {
+                (true, _) => URGENCY_LATE,
+                (false, Some(_)) => URGENCY_GOES_ON,
+                (false, None) => URGENCY_IN_TIME,
+            },
         };
         let is_repeat = attempts > 0;
         let entry_hosts = self.entry_hosts;
--- a/crates/raildale-core/src/gateway/waiting.rs
+++ b/crates/raildale-core/src/gateway/waiting.rs
@@ -237,10 +237,17 @@
     }
 
     /// Whether a request can no longer be in time, were it sent now. One that
-    /// is back was refused before; its goal counts from the first try.
+    /// is back was refused before; its goal counts from the first try. A
+    /// stream that goes on is in time if its next event is: judged by its
+    /// first one, it took only what others left over, and 119 of 180 that
+    /// were cut in change-overs paused for too long.
     pub fn is_late(&self, now_ms: u64, request: &Admission) -> bool {
-        let waited_ms = now_ms.saturating_sub(request.arrived_ms);
         let first_event_ms = self.first_event_ms(now_ms, request);
+        if let Some(last_ms) = request.last_event_ms {
+            let next_ms = now_ms + first_event_ms;
+            return next_ms > last_ms + request.route.gap_goal_ms;
+        }
+        let waited_ms = now_ms.saturating_sub(request.arrived_ms);
         request.is_back
             || request.place == Place::Late
             || waited_ms + first_event_ms > request.route.goal_ms
@@ -286,6 +293,9 @@
             return false;
         }
         let queue = self.queues.get(&request.service.name);
+        if request.last_event_ms.is_some() {
+            return true;
+        }
         let turn = request.in_time_turn(goal_at_ms(request));
         let ahead = queue.map_or(0, |queue| queue.before(turn));
         let taken_ms = now_ms.saturating_sub(request.arrived_ms)
--- a/crates/raildale-testkit/src/load/world.rs
+++ b/crates/raildale-testkit/src/load/world.rs
@@ -87,6 +87,8 @@
     host: usize,
     admission: Option<Admission>,
     since_ms: u64,
+    /// How urgent the attempt that runs is at its target.
+    urgency: u8,
     /// The attempt that runs.
     attempt: Option<usize>,
     events_got: u32,
@@ -344,6 +346,7 @@
             is_over: false,
         });
         self.calls[place].attempt = Some(attempt);
+        self.calls[place].urgency = dispatch.urgency;
         let way_ms = HANDLING_MS + self.way_ms(place, target);
         self.schedule(way_ms, Event::Reach(attempt));
     }
@@ -384,11 +387,8 @@
         if is_over {
             return;
         }
-        let urgency = match self.calls[call].admission.as_ref() {
-            Some(admission) if admission.is_back => 7,
-            _ => 3,
-        };
         let call = &self.calls[call];
+        let urgency = call.urgency;
         let got = call.events_got;
         let stride = f64::from(self.pattern.engine.stride);
         let work = Work {
@@ -474,6 +474,7 @@
         let place = self.attempts[attempt].call;
         let tries = self.calls[place].tries;
         if self.over(attempt, outcome) {
+            self.calls[place].goes_on();
             self.look(place, tries);
         } else {
             self.calls[place].ending = Some(Ending::Cut);
@@ -582,6 +583,7 @@
             host: 0,
             admission: None,
             since_ms: 0,
+            urgency: 0,
             attempt: None,
             events_got: 0,
             first_event_ms: None,
@@ -591,6 +593,15 @@
         }
     }
 
+    /// Its stream broke off, and is to go on.
+    fn goes_on(&mut self) {
+        let last_ms = (START_MS + self.last_event_ms) as u64;
+        let has_event = self.first_event_ms.is_some();
+        if let Some(admission) = self.admission.as_mut() {
+            admission.last_event_ms = has_event.then_some(last_ms);
+        }
+    }
+
     fn got_event(&mut self, at_ms: f64) {
         self.events_got += 1;
         if self.first_event_ms.is_some() {
--- a/crates/raildale/src/fleet/entry/stream_body.rs
+++ b/crates/raildale/src/fleet/entry/stream_body.rs
@@ -180,6 +180,9 @@
         self.exchange.log_attempt(&target, Outcome::Broken, 200);
         self.splitter.drop_torn();
         if may_repeat && now_ms() < self.exchange.request.due_ms {
+            let has_event = self.pace.first_ms.is_some();
+            self.exchange.request.last_event_ms =
+                has_event.then_some(self.pace.last_ms);
             let last_id = self.splitter.last_id().map(str::to_string);
             let resumed = self.exchange.open(last_id.as_deref()).await;
             if let Ok(opened) = resumed
