--- a/crates/raildale-core/src/gateway/mod.rs
+++ b/crates/raildale-core/src/gateway/mod.rs
@@ -8,6 +8,10 @@
 //! * [`targets`]: what is believed of each target, and which one to pick.
 //! * [`shares`]: which part of a target's slots this entry host may count on.
 //! * [`fading`]: what was seen of late.
+//! * [`request`]: a request on its way, and what becomes of it.
+//! * [`admission`]: where a request goes, when it waits, and when it is refused.
+//! * [`outcomes`]: what follows from how it went at a target.
+//! * [`versions`]: which versions of weights bound what may start.
 //! * [`waiting`]: how long a request waits for a target, and what then.
 //! * [`retry_budget`]: how many repeats this process may still send.
 //! * [`event_stream`]: whole events out of a stream's bytes.
@@ -15,16 +19,20 @@
 pub mod admission;
 pub mod event_stream;
 pub mod fading;
+pub mod outcomes;
+pub mod request;
 pub mod retry_budget;
 pub mod routes;
 pub mod shares;
 pub mod target;
 pub mod targets;
+pub mod versions;
 pub mod waiting;
 
 pub use self::{
-    admission::{Admission, Gateway, GatewayConfig, Refusal, RequestHead},
+    admission::{Gateway, GatewayConfig},
     event_stream::EventSplitter,
+    request::{Admission, Refusal, RequestHead},
     retry_budget::RetryBudget,
     routes::{Limits, Route, RouteKind, Routing, Service},
     target::{Outcome, Target, TargetReport, TargetSpec},
--- a/crates/raildale-core/src/gateway/targets.rs
+++ b/crates/raildale-core/src/gateway/targets.rs
@@ -358,16 +358,13 @@
             return false;
         }
         let slots = f64::from(target.spec.slots);
-        if need.is_late {
-            let spare = -KEPT_FREE_SHARE * slots;
-            return target.has_lent_room(now_ms, self.alike(), spare);
-        }
-        if is_old {
-            return target.has_lent_room(now_ms, self.alike(), 0.0);
-        }
-        let spare = -LENT_FREE_SHARE * slots;
-        target.has_own_room(now_ms)
-            || target.has_lent_room(now_ms, self.alike(), spare)
+        let spare = match (need.is_late, is_old) {
+            (true, _) => -KEPT_FREE_SHARE * slots,
+            (false, true) => 0.0,
+            (false, false) if target.has_own_room(now_ms) => return true,
+            (false, false) => -LENT_FREE_SHARE * slots,
+        };
+        target.has_lent_room(now_ms, self.alike(), spare)
     }
 
     fn cost_for(&self, target: &Target, now_ms: u64, need: Need<'_>) -> f64 {
--- a/crates/raildale-core/src/gateway/waiting.rs
+++ b/crates/raildale-core/src/gateway/waiting.rs
@@ -8,7 +8,11 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use super::{admission::Admission, fading::Fading, routes::RouteKind};
+use super::{
+    fading::Fading,
+    request::{Admission, Place, RETRY_AFTER_LEAST_MS, Turn},
+    routes::RouteKind,
+};
 use crate::Name;
 
 /// Who waits here, by service.
@@ -19,22 +23,6 @@
     entered: u64,
 }
 
-/// How a request waits.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Place {
-    /// It does not.
-    #[default]
-    Nowhere,
-    /// Among those that can be in time.
-    InTime,
-    /// Among those that cannot.
-    Late,
-}
-
-/// When it is a waiting request's turn: the time that decides, and its number
-/// among those that have waited here.
-pub type Turn = (u64, u64);
-
 /// Requests for one service.
 #[derive(Debug)]
 struct Queue {
@@ -94,9 +82,6 @@
 /// an empty fleet is filled in about 4 s, half of it on the average.
 const UNKNOWN_READY_MS: u64 = 2_000;
 
-/// The shortest time after which a refused request comes back.
-pub const RETRY_AFTER_LEAST_MS: u64 = 400;
-
 /// Callers leave a stream that shows nothing for the longest of this time,
 /// four goals and eight pauses, as the platform's users tell.
 const SILENT_STREAM_MS: u64 = 2_000;
--- a/crates/raildale-core/tests/gateway.rs
+++ b/crates/raildale-core/tests/gateway.rs
@@ -7,10 +7,11 @@
     gateway::{
         Admission, Gateway, GatewayConfig, Outcome, RequestHead, Route,
         RouteKind, Routing, Service, TargetReport, TargetSpec,
-        admission::{NamedVersion, Next},
+        request::Next,
         retry_budget::{RetryBound, RetryBudget},
         routes::{EngineSpec, NoRoute, Organisation},
         shares::Sender,
+        versions::NamedVersion,
     },
 };
 use yare::parameterized;
--- a/crates/raildale-testkit/src/load/page.rs
+++ b/crates/raildale-testkit/src/load/page.rs
@@ -7,6 +7,9 @@
 /// Width and height of a plot, in pixels.
 const PLOT_SIZE: (u32, u32) = (760, 260);
 
+/// Width of a line in a plot's legend, in pixels.
+const LEGEND_WIDTH: i32 = 16;
+
 /// A page of one result, or of two to compare.
 pub fn page(results: &[LoadResult]) -> String {
     let parts: Vec<String> = results.iter().map(part).collect();
@@ -61,11 +64,14 @@
 type PlotError<'a> =
     DrawingAreaErrorKind<<SVGBackend<'a> as DrawingBackend>::ErrorType>;
 
+/// What a line of a plot shows of a second.
+type Count = fn(&Share) -> u32;
+
 fn draw<'a>(
     result: &LoadResult,
     text: &'a mut String,
 ) -> Result<(), PlotError<'a>> {
-    let lines: [(&str, RGBColor, fn(&Share) -> u32); 3] = [
+    let lines: [(&str, RGBColor, Count); 3] = [
         ("asked", BLACK, |share| share.asked),
         ("answered", BLUE, |share| share.in_time + share.late),
         ("in time", GREEN, |share| share.in_time),
@@ -79,11 +85,15 @@
         .y_label_area_size(40)
         .build_cartesian_2d(0..result.seconds.len(), 0..most + 1)?;
     chart.configure_mesh().x_desc("second").y_desc("requests").draw()?;
-    for (_, colour, value) in lines {
+    for (name, colour, value) in lines {
         let seconds = result.seconds.iter().enumerate();
         let points = seconds.map(|(second, share)| (second, value(share)));
-        chart.draw_series(LineSeries::new(points, &colour))?;
+        let line = LineSeries::new(points, &colour);
+        chart.draw_series(line)?.label(name).legend(move |(x, y)| {
+            PathElement::new([(x, y), (x + LEGEND_WIDTH, y)], colour)
+        });
     }
+    chart.configure_series_labels().draw()?;
     drop(chart);
     area.present()
 }
--- a/crates/raildale-testkit/src/load/world.rs
+++ b/crates/raildale-testkit/src/load/world.rs
@@ -11,7 +11,7 @@
     gateway::{
         Admission, Gateway, GatewayConfig, Outcome, RequestHead, Route,
         RouteKind, Routing, Service, TargetReport, TargetSpec,
-        admission::{Dispatch, Next},
+        request::{Dispatch, Next},
         retry_budget::RetryBound,
         routes::EngineSpec,
         shares::Sender,
--- a/crates/raildale/src/fleet/entry/host/changes.rs
+++ b/crates/raildale/src/fleet/entry/host/changes.rs
@@ -7,7 +7,7 @@
     fleet_message::ToldVersion,
     gateway::{
         Target,
-        admission::{NamedVersion, VersionNews},
+        versions::{NamedVersion, VersionNews},
     },
 };
 
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -13,7 +13,7 @@
     Code, LogEvent, Name,
     gateway::{
         Admission, Outcome, Refusal, RequestHead, RouteKind,
-        admission::{Dispatch, Next},
+        request::{Dispatch, Next},
     },
 };
 
