Nothing goes by a slow way while a quick one is only full

Since prompts at a target are bounded, sound targets are full for moments, and the slow one looked like the only one with room. Test: nothing_goes_by_a_slow_way_while_a_quick_one_is_only_full.

--- a/crates/raildale-core/src/gateway/target.rs
+++ b/crates/raildale-core/src/gateway/target.rs
@@ -310,6 +310,13 @@
         self.worst_way_ms(now_ms) > SLOW_WAY_MS
     }
 
+    /// Whether a report of late took a slow way. One that is only overdue may
+    /// be missing because its agent is, beside a sound target.
+    pub fn was_way_slow(&self, now_ms: u64) -> bool {
+        let (worst_ms, at_ms) = self.worst_way;
+        worst_ms > SLOW_WAY_MS && now_ms < at_ms + WORST_WAY_FOR_MS
+    }
+
     /// The longest way to its machine and back of late, in milliseconds.
     pub fn worst_way_ms(&self, now_ms: u64) -> u64 {
         let (worst_ms, at_ms) = self.worst_way;
--- a/crates/raildale-core/src/gateway/targets.rs
+++ b/crates/raildale-core/src/gateway/targets.rs
@@ -267,9 +267,7 @@
 
     /// Whether some target could take a request now.
     pub fn any_has_room(&self, now_ms: u64, need: Need<'_>) -> bool {
-        self.of(need.service)
-            .filter(|target| fits(target, now_ms, need))
-            .any(|target| self.has_room(target, now_ms, need))
+        self.candidates(now_ms, need).next().is_some()
     }
 
     /// Milliseconds until the first target of a service that does not serve
@@ -308,16 +306,14 @@
     /// the crossing counted as time. `draw` says at which of them this
     /// request looks, and breaks ties: entry hosts believe much the same, and
     /// where there are many, all would flood the target that looked idle.
-    pub fn pick(
-        &self,
+    pub fn pick<'a>(
+        &'a self,
         now_ms: u64,
-        need: Need<'_>,
+        need: Need<'a>,
         draw: u32,
-    ) -> Option<&Target> {
+    ) -> Option<&'a Target> {
         let (here, elsewhere): (Vec<&Target>, Vec<&Target>) = self
-            .of(need.service)
-            .filter(|target| fits(target, now_ms, need))
-            .filter(|target| self.has_room(target, now_ms, need))
+            .candidates(now_ms, need)
             .partition(|target| *target.spec.data_centre == *need.data_centre);
         self.looked_at(&here, draw)
             .chain(self.looked_at(&elsewhere, draw))
@@ -326,6 +322,26 @@
             .map(|(target, _)| target)
     }
 
+    /// Targets that could take a request now.
+    ///
+    /// One with a slow way is none while another fits, though that one be
+    /// full: on a squeezed link requests arrived 0.9 s after their callers
+    /// had left.
+    fn candidates<'a>(
+        &'a self,
+        now_ms: u64,
+        need: Need<'a>,
+    ) -> impl Iterator<Item = &'a Target> {
+        let fitting = move || {
+            self.of(need.service).filter(move |t| fits(t, now_ms, need))
+        };
+        let is_quick = move |target: &&Target| !target.was_way_slow(now_ms);
+        let has_quick = fitting().any(|target| is_quick(&target));
+        fitting()
+            .filter(move |target| !has_quick || is_quick(target))
+            .filter(move |target| self.has_room(target, now_ms, need))
+    }
+
     /// A part of the candidates, from a drawn place on: so many that about
     /// [`ALIKE_MOST`] entry hosts look at each.
     fn looked_at<'a>(
--- a/crates/raildale-core/tests/gateway.rs
+++ b/crates/raildale-core/tests/gateway.rs
@@ -724,6 +724,27 @@
     assert_eq!(sent(next), None, "the queue comes and goes");
 }
 
+/// A stream that went on from one squeezed link to another arrived there long
+/// after its caller had left: the sound targets were busy for the moment.
+#[test]
+fn nothing_goes_by_a_slow_way_while_a_quick_one_is_only_full() {
+    let mut gateway = gateway();
+    gateway.targets.put(target("full", "model", 1, Some(1)));
+    gateway.targets.put(target("slow", "model", 2, Some(1)));
+    let full = TargetReport { running: 2, queued: 2, ..report(1) };
+    let slow = TargetReport { round_trip_ms: 600, ..report(1) };
+    for (last, told) in [(1, full), (2, slow)] {
+        let address = SocketAddr::from(([10, 0, 0, last], 80));
+        gateway.targets.note_report(START_MS, address, told);
+    }
+    let mut request = admit(&mut gateway, "/deep/");
+    let next = gateway.next(START_MS, &mut request, START_MS, 0);
+    assert!(matches!(next, Next::Wait(_)), "{next:?}");
+    gateway.targets.remove("full");
+    let next = gateway.next(START_MS, &mut request, START_MS, 0);
+    assert_eq!(sent(next).as_deref(), Some("slow"), "there is no other");
+}
+
 /// Many entry hosts hear the same reports, and one target looks idle in all.
 #[test]
 fn a_target_that_looks_idle_is_not_flooded_by_all_entry_hosts() {
