--- a/crates/raildale-core/src/gateway/shares.rs
+++ b/crates/raildale-core/src/gateway/shares.rs
@@ -14,7 +14,7 @@
 pub struct Sender {
     /// The data centre that it stands in.
     pub data_centre: Name,
-    /// Requests that it has at targets or waiting, on the average of late.
+    /// Requests that come to it in a second, as of late.
     pub demand: f64,
 }
 
