--- a/crates/raildale-core/src/swarm/reducer/transfers.rs
+++ b/crates/raildale-core/src/swarm/reducer/transfers.rs
@@ -27,9 +27,9 @@
 /// figure is on record.
 const ORIGIN_SHARE_PERCENT: usize = 75;
 
-/// Transfers at once from sources that may have to wait themselves, at least:
-/// these take no room on the link until they are answered.
-const WAITING_LEAST: usize = 10;
+/// Transfers at once from sources that may have to wait themselves: these
+/// take no room on the link until they are answered.
+const WAITING_MOST: usize = 10;
 
 /// Time between two lines on the progress of a version, in milliseconds.
 const PROGRESS_EVERY_MS: u64 = 1_000;
@@ -74,19 +74,15 @@
             self.versions.values().map(Version::fetches_awaited).sum();
         let from_origin: usize =
             self.versions.values().map(Version::fetches_from_origin).sum();
-        // One from each agent next door: a chunk's owner there gives it to all
-        // others in turn. With 10 of 25 asked at once, 15 links were idle and
-        // a version took 5.6 s.
-        let waiting_most = self.sources.neighbours().max(WAITING_LEAST);
         let usable = self.origin_connections * ORIGIN_SHARE_PERCENT / 100;
         let most = (usable / agents.max(1)).clamp(1, ORIGIN_PARALLEL_MOST);
         Room {
             at_once: self.window.size().saturating_sub(busy(false)),
             waiting: self
                 .window
-                .share(waiting_most)
+                .share(WAITING_MOST)
                 .saturating_sub(busy(true)),
-            awaited: waiting_most.saturating_sub(awaited),
+            awaited: WAITING_MOST.saturating_sub(awaited),
             from_origin: most.saturating_sub(from_origin),
         }
     }
--- a/crates/raildale-core/src/swarm/sources.rs
+++ b/crates/raildale-core/src/swarm/sources.rs
@@ -129,11 +129,6 @@
         order.into_iter().map(|(.., ip)| ip).collect()
     }
 
-    /// Agents of the own data centre, this one among them.
-    pub fn neighbours(&self) -> usize {
-        self.of(&self.data_centre).count()
-    }
-
     /// Whether a source is known to be gone or slow.
     pub fn is_lost(&self, source: Source) -> bool {
         match source {
