--- a/crates/raildale-testkit/src/load/page.rs
+++ b/crates/raildale-testkit/src/load/page.rs
@@ -23,9 +23,7 @@
 }
 
 fn part(result: &LoadResult) -> String {
-    let seconds = result.seconds.len();
-    let groups = result.shares().count() - seconds;
-    let rows: Vec<String> = result.shares().take(groups).map(row).collect();
+    let rows: Vec<String> = result.groups().map(row).collect();
     let plot = plot(result).unwrap_or_else(|error| escaped(&error));
     format!(
         "<section><h1>{}</h1><p>Seed {}. Credit {:.3} of a bound of \
--- a/crates/raildale-testkit/src/load/result.rs
+++ b/crates/raildale-testkit/src/load/result.rs
@@ -136,13 +136,17 @@
         }
     }
 
-    /// Every group, the whole first.
-    pub fn shares(&self) -> impl Iterator<Item = &Share> {
+    /// Every group but the seconds, the whole first.
+    pub fn groups(&self) -> impl Iterator<Item = &Share> {
         std::iter::once(&self.all)
             .chain(&self.routes)
             .chain(&self.organisations)
             .chain(&self.data_centres)
-            .chain(&self.seconds)
+    }
+
+    /// Every group, the seconds last.
+    pub fn shares(&self) -> impl Iterator<Item = &Share> {
+        self.groups().chain(&self.seconds)
     }
 
     /// The lowest credit of a route.
@@ -186,9 +190,7 @@
             "{:<20} {:>7} {:>7} {:>6} {:>7} {:>5} {:>7}",
             "", "asked", "in time", "late", "refused", "lost", "credit"
         )?;
-        let seconds = self.seconds.len();
-        let groups = self.shares().count() - seconds;
-        for share in self.shares().take(groups) {
+        for share in self.groups() {
             writeln!(
                 f,
                 "{:<20} {:>7} {:>7} {:>6} {:>7} {:>5} {:>7.3}",
