--- a/crates/raildale-core/tests/gateway.rs
+++ b/crates/raildale-core/tests/gateway.rs
@@ -737,6 +737,34 @@
     assert_eq!(sent(next).as_deref(), Some("slow"), "there is no other");
 }
 
+/// A link that was squeezed in the middle of a fill delivers no report for a
+/// second or two: until one comes, nothing else shows how slow it is. An agent
+/// that is missing for longer than any way takes stands beside a sound target.
+#[parameterized(
+    regular = { 100, true },
+    on_a_slow_way = { 800, false },
+    on_a_very_slow_way = { 2_800, false },
+    agent_missing = { 3_600, true },
+)]
+fn nothing_goes_where_reports_are_overdue_while_a_quick_way_is_full(
+    silent_ms: u64,
+    is_sent: bool,
+) {
+    let mut gateway = gateway();
+    gateway.targets.put(target("full", "model", 1, Some(1)));
+    gateway.targets.put(target("mute", "model", 2, Some(1)));
+    let now_ms = START_MS + silent_ms;
+    let idle = TargetReport { every_ms: 100, ..report(1) };
+    let full = TargetReport { running: 2, queued: 2, ..idle };
+    for (last, at_ms, told) in [(1, now_ms, full), (2, START_MS, idle)] {
+        let address = SocketAddr::from(([10, 0, 0, last], 80));
+        gateway.targets.note_report(at_ms, address, told);
+    }
+    let mut request = gateway.admit(now_ms, &head("/deep/"), 0).expect("in");
+    let next = gateway.next(now_ms, &mut request, now_ms, 0);
+    assert_eq!(sent(next).as_deref(), is_sent.then_some("mute"));
+}
+
 /// Many entry hosts hear the same reports, and one target looks idle in all.
 #[test]
 fn a_target_that_looks_idle_is_not_flooded_by_all_entry_hosts() {
