A target whose reports are overdue counts as one with a slow way

Links squeezed in the middle of a fill deliver nothing for a second or two; requests went to such targets while no report told so.

--- a/crates/raildale-core/src/gateway/target.rs
+++ b/crates/raildale-core/src/gateway/target.rs
@@ -415,11 +415,20 @@
         self.worst_way_ms(now_ms) > SLOW_WAY_MS
     }
 
-    /// Whether a report of late took a slow way. One that is only overdue may
-    /// be missing because its agent is, beside a sound target.
+    /// Whether the way to its machine is to be taken for slow: a report of
+    /// late came by a slow way, or is overdue by as much. One that is missing
+    /// for longer than any way takes tells of its agent, beside a sound
+    /// target.
+    ///
+    /// On a link that was squeezed in the middle of a fill no report comes for
+    /// a second or two: requests that went there by then reached their target
+    /// 1.7 to 2.1 s later, some after their callers had left.
     pub fn was_way_slow(&self, now_ms: u64) -> bool {
         let (worst_ms, at_ms) = self.worst_way;
-        worst_ms > SLOW_WAY_MS && now_ms < at_ms + WORST_WAY_FOR_MS
+        let is_known =
+            worst_ms > SLOW_WAY_MS && now_ms < at_ms + WORST_WAY_FOR_MS;
+        let overdue_ms = self.overdue_ms(now_ms);
+        is_known || (SLOW_WAY_MS..DELAY_MOST_MS).contains(&overdue_ms)
     }
 
     /// The longest way to its machine and back of late, in milliseconds.
@@ -433,11 +442,17 @@
     /// Milliseconds to its machine and back, as last measured. A report that
     /// is overdue counts as being on its way.
     pub fn round_trip_ms(&self, now_ms: u64) -> u64 {
+        let Some((_, report, _)) = &self.report else { return 0 };
+        let overdue_ms = self.overdue_ms(now_ms);
+        report.round_trip_ms.max(overdue_ms).min(DELAY_MOST_MS)
+    }
+
+    /// By how much the next report is later than announced, in milliseconds.
+    fn overdue_ms(&self, now_ms: u64) -> u64 {
         let Some((at_ms, report, _)) = &self.report else { return 0 };
         let age_ms = now_ms.saturating_sub(*at_ms);
         let due_ms = u64::from(report.every_ms) + REPORT_LATE_MS;
-        let overdue_ms = age_ms.saturating_sub(due_ms);
-        report.round_trip_ms.max(overdue_ms).min(DELAY_MOST_MS)
+        age_ms.saturating_sub(due_ms)
     }
 
     /// Milliseconds that a request would lose there, with failures counted
