Chunks come in slices, few on their way, fewer before a link with a queue

The agent tells the queue it has measured in its reports, where it counts as the way there. Costs: a short frame back for each slice.

--- a/crates/raildale-core/src/fleet_message.rs
+++ b/crates/raildale-core/src/fleet_message.rs
@@ -317,6 +317,9 @@
     /// Milliseconds until the reader's next report, if nothing happens.
     #[prost(uint32, tag = "12")]
     pub every_ms: u32,
+    /// Milliseconds that what comes to the agent waits before its link.
+    #[prost(uint64, tag = "13")]
+    pub queue_ms: u64,
 }
 
 /// Thousandths in the whole, as paces are told.
@@ -339,6 +342,7 @@
             briefing_age_ms: 0,
             missing_chunks: report.missing_chunks,
             every_ms: report.every_ms,
+            queue_ms: 0,
         }
     }
 
@@ -354,7 +358,7 @@
         // A full link drops datagrams: a briefing that is overdue at the
         // agent says as much of the way as one that took long.
         let overdue_ms = self.briefing_age_ms.saturating_sub(OVERDUE_AFTER_MS);
-        let round_trip_ms = round_trip_ms.max(overdue_ms);
+        let round_trip_ms = round_trip_ms.max(overdue_ms).max(self.queue_ms);
         TargetReport {
             is_up: self.is_up,
             is_accepting: self.is_accepting,
@@ -378,7 +382,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct FleetFrame {
     /// What it says.
-    #[prost(oneof = "FleetBody", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "FleetBody", tags = "1, 2, 3, 4, 5")]
     pub body: Option<FleetBody>,
 }
 
@@ -397,6 +401,9 @@
     /// The answer.
     #[prost(message, tag = "4")]
     GiveSnapshot(GiveSnapshot),
+    /// A slice of a chunk has come.
+    #[prost(message, tag = "5")]
+    TookSlice(TookSlice),
 }
 
 /// A question for a manifest or chunk.
@@ -416,13 +423,13 @@
     pub hops: u32,
 }
 
-/// A manifest or chunk, or that it is not to be had.
+/// A manifest or a slice of a chunk, or that it is not to be had.
 #[derive(Clone, PartialEq, Message)]
 pub struct GiveItem {
     /// Names the question.
     #[prost(uint64, tag = "1")]
     pub question: u64,
-    /// A chunk's bytes.
+    /// Bytes of a chunk, after those of the slices before.
     #[prost(bytes = "bytes", optional, tag = "2")]
     pub chunk: Option<bytes::Bytes>,
     /// A manifest's digests, 32 bytes each, in order.
@@ -431,8 +438,18 @@
     /// Milliseconds that the question waited before the answer began.
     #[prost(uint64, tag = "4")]
     pub waited_ms: u64,
+    /// Bytes of the chunk that are still to come.
+    #[prost(uint32, tag = "5")]
+    pub left_bytes: u32,
+    /// When it left, on the sender's clock.
+    #[prost(uint64, tag = "6")]
+    pub sent_ms: u64,
 }
 
+/// That a slice of a chunk has come, so that another one may leave.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct TookSlice {}
+
 /// A question for all objects of a kind.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct AskSnapshot {
--- a/crates/raildale-core/src/swarm/mod.rs
+++ b/crates/raildale-core/src/swarm/mod.rs
@@ -6,11 +6,13 @@
 //!
 //! * [`sources`]: who is asked for a chunk.
 //! * [`version`]: what is held of one version.
+//! * [`queue_delay`]: how long what comes in waits before the link.
 //! * [`window`]: how many transfers run at once.
 //! * [`swap`]: when the target changes over, so that the fleet keeps its
 //!   capacity.
 
 pub mod digest;
+pub mod queue_delay;
 pub mod reducer;
 pub mod sources;
 pub mod swap;
@@ -20,6 +22,7 @@
 
 pub use self::{
     digest::WeightDigest,
+    queue_delay::QueueDelay,
     reducer::{
         Effect, Event, FetchError, Item, OrderGuard, OrderOutcome, Swarm,
         SwarmConfig, TargetStart, TargetState, Ticket,
--- a/crates/raildale-core/src/swarm/reducer/messages.rs
+++ b/crates/raildale-core/src/swarm/reducer/messages.rs
@@ -139,6 +139,8 @@
     Start(TargetStart),
     /// The target told of itself.
     Target(TargetState),
+    /// How long what comes in waits before the own link, in milliseconds.
+    QueueDelay(u64),
     /// Staging has ended.
     Staged {
         /// The version.
--- a/crates/raildale-core/src/swarm/reducer/mod.rs
+++ b/crates/raildale-core/src/swarm/reducer/mod.rs
@@ -55,6 +55,8 @@
     may_cut: bool,
     origin_connections: usize,
     window: Window,
+    /// How long what comes in waits before the own link, in milliseconds.
+    queue_ms: u64,
     /// When each version was named, by its number.
     named: BTreeMap<u64, u64>,
     /// What is held of each version, by its number.
@@ -97,6 +99,7 @@
             may_cut: false,
             origin_connections: 0,
             window: Window::new(parallel),
+            queue_ms: 0,
             named: BTreeMap::new(),
             versions: BTreeMap::new(),
             target: TargetState::default(),
@@ -173,6 +176,7 @@
                 self.staging_read(now_ms, chunks, effects);
             }
             Event::Start(start) => self.start_told(now_ms, start, effects),
+            Event::QueueDelay(ms) => self.queue_ms = ms,
             Event::Target(state) => self.target_told(now_ms, state, effects),
             Event::Staged { version, is_done } => {
                 self.staged(now_ms, version, is_done);
--- a/crates/raildale-core/src/swarm/reducer/transfers.rs
+++ b/crates/raildale-core/src/swarm/reducer/transfers.rs
@@ -31,6 +31,11 @@
 /// take no room on the link until they are answered.
 const WAITING_MOST: usize = 10;
 
+/// The queue before the own link above which one chunk at a time comes in, in
+/// milliseconds: a third of the shortest goal of a first event, and enough to
+/// keep the link full between two answers.
+const QUEUE_MOST_MS: u64 = 130;
+
 /// Time between two lines on the progress of a version, in milliseconds.
 const PROGRESS_EVERY_MS: u64 = 1_000;
 
@@ -76,10 +81,16 @@
             self.versions.values().map(Version::fetches_from_origin).sum();
         let usable = self.origin_connections * ORIGIN_SHARE_PERCENT / 100;
         let most = (usable / agents.max(1)).clamp(1, ORIGIN_PARALLEL_MOST);
+        // A longer queue takes nothing more, whoever waits: requests to the
+        // target stand in it as well, and nothing in it can be called back.
+        let queue_most = match self.queue_ms > QUEUE_MOST_MS {
+            true => 1,
+            false => usize::MAX,
+        };
         Room {
-            at_once: self.window.size(),
-            waiting: self.window.share(WAITING_MOST),
-            awaited: WAITING_MOST,
+            at_once: self.window.size().min(queue_most),
+            waiting: self.window.share(WAITING_MOST).min(queue_most),
+            awaited: WAITING_MOST.min(queue_most),
             from_origin: most.saturating_sub(from_origin),
         }
     }
--- a/crates/raildale-core/tests/swarm_runs.rs
+++ b/crates/raildale-core/tests/swarm_runs.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 
 use raildale_core::swarm::{
-    Effect, Event, Item, Peer, Source, Ticket, reducer::Content,
+    Effect, Event, Item, Peer, Source, TargetState, Ticket, reducer::Content,
 };
 use swarm_world::{
     Faults, START_MS, World, agent, centre, chunk, digests, ip, layout,
@@ -234,3 +234,50 @@
         assert_eq!(world.torn_orders(), 0, "seed {seed}");
     }
 }
+
+/// Chunks that an agent beside two holders of a version asks for at once, of
+/// eight, while what comes in waits before its link.
+fn asked_at_once(queue_ms: u64) -> usize {
+    let mut swarm = agent(0);
+    let mut effects = Vec::new();
+    let peer = |machine: usize| Peer {
+        ip: ip(machine),
+        data_centre: centre(0),
+        whole_version: if machine == 0 { 0 } else { 2 },
+        serves_version: 1,
+        is_slow: false,
+    };
+    let state = TargetState {
+        is_up: true,
+        serves_version: 1,
+        ..TargetState::default()
+    };
+    let events = [
+        layout(),
+        Event::Target(state),
+        Event::QueueDelay(queue_ms),
+        Event::Named { version: 2, named_ms: START_MS },
+        Event::Peers((0..3).map(peer).collect()),
+        Event::Manifest {
+            version: 2,
+            source: Source::Peer(ip(1)),
+            result: Ok(digests(2)),
+        },
+    ];
+    for event in events {
+        swarm.reduce(START_MS, event, &mut effects);
+    }
+    let is_chunk = |effect: &&Effect| {
+        matches!(effect, Effect::Fetch { item: Item::Chunk(_), .. })
+    };
+    effects.iter().filter(is_chunk).count()
+}
+
+/// Requests to the target stand in the same queue: six chunks at once filled
+/// a squeezed link for three seconds.
+#[test]
+fn one_chunk_at_a_time_comes_in_by_a_link_with_a_queue() {
+    assert_eq!(asked_at_once(0), 6);
+    assert_eq!(asked_at_once(100), 6, "the link is only full");
+    assert_eq!(asked_at_once(300), 1);
+}
--- a/crates/raildale/src/fleet/agent/links.rs
+++ b/crates/raildale/src/fleet/agent/links.rs
@@ -7,15 +7,16 @@
     rc::Rc,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use raildale_core::{
-    fleet_message::{AskItem, FleetBody, GiveItem},
+    fleet_message::{AskItem, FleetBody, GiveItem, TookSlice},
     swarm::{Event, FetchError, Item, Source, WeightDigest},
 };
 use tokio::{net::TcpStream, sync::mpsc};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+use super::reports::QueueClock;
 use crate::{
     codec,
     error::Error,
@@ -41,12 +42,24 @@
     port: u16,
     events: mpsc::UnboundedSender<Event>,
     open: Rc<RefCell<HashMap<IpAddr, mpsc::UnboundedSender<Question>>>>,
+    queue_delay: QueueClock,
+}
+
+/// A question on its connection, with what has come of its answer.
+#[derive(Debug)]
+struct Asked {
+    question: Question,
+    chunk: BytesMut,
 }
 
 impl Links {
     /// No connections yet; answers come as events.
-    pub fn new(port: u16, events: mpsc::UnboundedSender<Event>) -> Links {
-        Links { port, events, open: Rc::default() }
+    pub fn new(
+        port: u16,
+        events: mpsc::UnboundedSender<Event>,
+        queue_delay: QueueClock,
+    ) -> Links {
+        Links { port, events, open: Rc::default(), queue_delay }
     }
 
     /// Asks another agent.
@@ -62,7 +75,8 @@
         self.open.borrow_mut().insert(ip, sender);
         let address = SocketAddr::new(ip, self.port);
         let events = self.events.clone();
-        tokio::task::spawn_local(run(address, receiver, events));
+        let queue_delay = self.queue_delay.clone();
+        tokio::task::spawn_local(run(address, receiver, events, queue_delay));
     }
 }
 
@@ -72,14 +86,21 @@
     address: SocketAddr,
     mut questions: mpsc::UnboundedReceiver<Question>,
     events: mpsc::UnboundedSender<Event>,
+    queue_delay: QueueClock,
 ) {
-    let mut asked = HashMap::new();
+    let mut asked: HashMap<u64, Asked> = HashMap::new();
     match frames::connect(address).await {
         Ok(stream) => {
             let framed = Framed::new(stream, codec::splitter());
-            let ended =
-                exchange(address, framed, &mut questions, &events, &mut asked)
-                    .await;
+            let ended = exchange(
+                address,
+                framed,
+                &mut questions,
+                &events,
+                &queue_delay,
+                &mut asked,
+            )
+            .await;
             if let Err(error) = ended {
                 log::debug!("agent {address}: {error}");
             }
@@ -90,8 +111,8 @@
     while let Ok(question) = questions.try_recv() {
         lose(address, question, &events);
     }
-    for question in asked.into_values() {
-        lose(address, question, &events);
+    for asked in asked.into_values() {
+        lose(address, asked.question, &events);
     }
 }
 
@@ -101,7 +122,8 @@
     mut framed: Framed<TcpStream, LengthDelimitedCodec>,
     questions: &mut mpsc::UnboundedReceiver<Question>,
     events: &mpsc::UnboundedSender<Event>,
-    asked: &mut HashMap<u64, Question>,
+    queue_delay: &QueueClock,
+    asked: &mut HashMap<u64, Asked>,
 ) -> Result<(), Error> {
     let mut next_number = 0;
     loop {
@@ -109,7 +131,8 @@
             question = questions.recv() => {
                 let Some(question) = question else { return Ok(()) };
                 next_number += 1;
-                asked.insert(next_number, question);
+                let chunk = BytesMut::new();
+                asked.insert(next_number, Asked { question, chunk });
                 framed.send(ask_frame(next_number, question)).await?;
             }
             frame = framed.next() => {
@@ -120,7 +143,13 @@
                     log::warn!("agent {address}: a frame out of place");
                     return Ok(());
                 };
-                if let Some(question) = asked.remove(&give.question) {
+                if give.chunk.is_some() {
+                    let now = now_ms();
+                    let from = address.ip();
+                    queue_delay.borrow_mut().note(now, from, give.sent_ms);
+                    framed.send(took_slice()).await?;
+                }
+                if let Some((question, give)) = whole(asked, give) {
                     let source = Source::Peer(address.ip());
                     // The loop that takes events ends with the process only.
                     let _ = events.send(came(question, source, give));
@@ -130,6 +159,25 @@
     }
 }
 
+/// Takes a slice in; the whole answer once there is no more to come.
+fn whole(
+    asked: &mut HashMap<u64, Asked>,
+    give: GiveItem,
+) -> Option<(Question, GiveItem)> {
+    let known = asked.get_mut(&give.question)?;
+    known.chunk.extend(give.chunk.iter().flatten());
+    if give.left_bytes > 0 {
+        return None;
+    }
+    let Asked { question, chunk } = asked.remove(&give.question)?;
+    let chunk = give.chunk.is_some().then(|| chunk.freeze());
+    Some((question, GiveItem { chunk, ..give }))
+}
+
+fn took_slice() -> Bytes {
+    frames::encode_body(FleetBody::TookSlice(TookSlice {}))
+}
+
 fn ask_frame(number: u64, question: Question) -> Bytes {
     let chunk = match question.item {
         Item::Manifest => None,
--- a/crates/raildale/src/fleet/agent/mod.rs
+++ b/crates/raildale/src/fleet/agent/mod.rs
@@ -5,9 +5,11 @@
 //! * [`service_facts`]: what is known of the target's service.
 //! * [`store_facts`]: what the store is asked for while nobody briefs.
 //! * [`links`]: connections to other agents.
+//! * [`answering`]: answers to another agent, slice by slice.
 //! * [`server`]: what other agents ask of this one.
 //! * [`reports`]: what the entry hosts are told, and what they tell.
 
+pub mod answering;
 pub mod calls;
 pub mod links;
 pub mod reports;
--- a/crates/raildale/src/fleet/agent/reports.rs
+++ b/crates/raildale/src/fleet/agent/reports.rs
@@ -12,7 +12,7 @@
     Name,
     fleet_message::{AskBriefing, Briefing, Note, Report},
     gateway::TargetReport,
-    swarm::{Event, Peer},
+    swarm::{Event, Peer, QueueDelay},
 };
 use tokio::{net::UdpSocket, sync::mpsc};
 
@@ -52,8 +52,13 @@
     is_briefed: Rc<Cell<bool>>,
     /// Looks at the target so far.
     looks: Rc<Cell<u32>>,
+    queue_delay: QueueClock,
 }
 
+/// What is known of the queue before the own link; shared with the
+/// connections that measure it.
+pub type QueueClock = Rc<RefCell<QueueDelay>>;
+
 /// An entry host's last briefing.
 #[derive(Clone, Copy, Debug)]
 struct Reader {
@@ -72,6 +77,7 @@
         socket: UdpSocket,
         target: SocketAddr,
         facts: Rc<ServiceFacts>,
+        queue_delay: QueueClock,
     ) -> Reports {
         Reports {
             socket: Rc::new(socket),
@@ -81,6 +87,7 @@
             listed_ms: Rc::new(Cell::new(now_ms())),
             is_briefed: Rc::default(),
             looks: Rc::default(),
+            queue_delay,
         }
     }
 
@@ -90,6 +97,11 @@
         self.listed_ms.get()
     }
 
+    /// How long what comes in waits before the link, in milliseconds.
+    pub fn queue_ms(&self) -> u64 {
+        self.queue_delay.borrow().ms(now_ms())
+    }
+
     /// Asks the entry hosts at `seeds` for a briefing until one comes: the
     /// others know of this agent only once its target is listed.
     pub async fn introduce(self, seeds: Vec<SocketAddr>, ask: AskBriefing) {
@@ -161,6 +173,7 @@
             readers.iter().map(|(to, reader)| (*to, *reader)).collect()
         };
         let mut message = Report::of(self.target, report);
+        message.queue_ms = self.queue_ms();
         for (to, reader) in readers {
             if !reader.is_near && !is_far_due {
                 continue;
--- a/crates/raildale/src/fleet/agent/server.rs
+++ b/crates/raildale/src/fleet/agent/server.rs
@@ -2,36 +2,26 @@
 
 use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc};
 
-use bytes::Bytes;
 use futures_util::StreamExt;
 use raildale_core::{
-    fleet_message::{AskItem, FleetBody, GiveItem},
-    swarm::{Event, Item, Ticket, WeightDigest, reducer::Content},
+    fleet_message::{AskItem, FleetBody},
+    swarm::{Event, Item, Ticket, reducer::Content},
 };
 use tokio::{
-    io::AsyncWriteExt,
-    net::{TcpListener, TcpStream, tcp::OwnedWriteHalf},
-    sync::{Semaphore, mpsc},
+    net::{TcpListener, TcpStream, tcp::OwnedReadHalf},
+    sync::mpsc,
 };
 use tokio_util::codec::FramedRead;
 
+use super::answering::{Answering, Link, SliceWindow, Waiting};
 use crate::{
     codec,
     error::Error,
     fleet::{frames, steady_clock::now_ms},
-    pacer::{Pacer, SLICE_BYTES},
 };
 
 type Answers = mpsc::UnboundedSender<Waiting>;
 
-/// An answer that waits for its turn on the link.
-#[derive(Debug)]
-struct Waiting {
-    question: u64,
-    asked_ms: u64,
-    content: Content,
-}
-
 /// Answers other agents' questions.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -40,18 +30,6 @@
     link: Rc<Link>,
 }
 
-/// The own link, as answers use it.
-#[derive(Debug)]
-struct Link {
-    pacer: Pacer,
-    turns: Semaphore,
-}
-
-/// Chunks that leave at once. Few: chunks that share the link all come late,
-/// and whoever waits for one cannot hand it on. More than one, so that a slow
-/// reader does not hold up the others.
-const CHUNKS_AT_ONCE: usize = 2;
-
 /// Questions without an answer yet.
 #[derive(Debug, Default)]
 struct OpenQuestions {
@@ -75,11 +53,8 @@
         events: mpsc::UnboundedSender<Event>,
         bytes_per_s: u64,
     ) -> Server {
-        let link = Link {
-            pacer: Pacer::new(bytes_per_s),
-            turns: Semaphore::new(CHUNKS_AT_ONCE),
-        };
-        Server { events, open: Rc::default(), link: Rc::new(link) }
+        let link = Rc::new(Link::new(bytes_per_s));
+        Server { events, open: Rc::default(), link }
     }
 
     /// Takes connections for as long as the process runs.
@@ -103,15 +78,32 @@
     async fn serve(self, stream: TcpStream, from: SocketAddr) {
         let (read, write) = stream.into_split();
         let (answers, frames_out) = mpsc::unbounded_channel();
-        let link = self.link.clone();
-        tokio::task::spawn_local(write_paced(write, frames_out, link));
+        let window = SliceWindow::new();
+        let answering = Answering {
+            write,
+            link: self.link.clone(),
+            window: window.clone(),
+        };
+        tokio::task::spawn_local(answering.run(frames_out));
+        self.read_questions(read, from, &answers, &window).await;
+        window.close();
+    }
+
+    async fn read_questions(
+        &self,
+        read: OwnedReadHalf,
+        from: SocketAddr,
+        answers: &Answers,
+        window: &SliceWindow,
+    ) {
         let mut questions = FramedRead::new(read, codec::splitter());
         while let Some(frame) = questions.next().await {
             let body = frame
                 .map_err(Error::from)
                 .and_then(|frame| frames::decode_frame(frame.freeze()));
             match body {
-                Ok(FleetBody::AskItem(ask)) => self.take(ask, &answers),
+                Ok(FleetBody::AskItem(ask)) => self.take(ask, answers),
+                Ok(FleetBody::TookSlice(_)) => window.note_taken(),
                 Ok(_) => {
                     log::warn!("agent {from}: a frame out of place");
                     return;
@@ -143,41 +135,3 @@
         let _ = self.events.send(Event::Asked { ticket, version, item, hops });
     }
 }
-
-fn encode(waiting: Waiting) -> Bytes {
-    let Waiting { question, asked_ms, content } = waiting;
-    let mut give = GiveItem {
-        question,
-        chunk: None,
-        digests: None,
-        waited_ms: now_ms().saturating_sub(asked_ms),
-    };
-    match content {
-        Content::Manifest(digests) => {
-            give.digests = Some(WeightDigest::encode_all(&digests));
-        }
-        Content::Chunk(data) => give.chunk = Some(data),
-        Content::Absent => {}
-    }
-    frames::encode_frame(FleetBody::GiveItem(give))
-}
-
-async fn write_paced(
-    mut write: OwnedWriteHalf,
-    mut answers: mpsc::UnboundedReceiver<Waiting>,
-    link: Rc<Link>,
-) {
-    while let Some(waiting) = answers.recv().await {
-        // The semaphore is never closed.
-        let Ok(_turn) = link.turns.acquire().await else { return };
-        let mut frame = encode(waiting);
-        while !frame.is_empty() {
-            let slice = frame.split_to(frame.len().min(SLICE_BYTES));
-            link.pacer.wait(slice.len()).await;
-            if let Err(error) = write.write_all(&slice).await {
-                log::debug!("answer to an agent: {error}");
-                return;
-            }
-        }
-    }
-}
--- a/crates/raildale/src/fleet/agent/worker.rs
+++ b/crates/raildale/src/fleet/agent/worker.rs
@@ -18,7 +18,7 @@
 use super::{
     calls::WeightCalls,
     links::{Links, Question},
-    reports::Reports,
+    reports::{QueueClock, Reports},
     server::Server,
     service_facts::ServiceFacts,
     store_facts::StoreFacts,
@@ -109,7 +109,13 @@
         let bytes_per_s = (file.link_bytes_per_s() * LINK_SHARE) as u64;
         let server = Server::new(events.clone(), bytes_per_s);
         let facts = Rc::new(ServiceFacts::new());
-        let reports = Reports::new(socket, target.address, facts.clone());
+        let queue_delay = QueueClock::default();
+        let reports = Reports::new(
+            socket,
+            target.address,
+            facts.clone(),
+            queue_delay.clone(),
+        );
         tokio::task::spawn_local(server.clone().run(listener));
         tokio::task::spawn_local(reports.clone().receive(events.clone()));
         introduce(&reports, &file.node, &target.service);
@@ -127,7 +133,11 @@
             store: Rc::new(store),
             unbriefed_ms: unbriefed_ms(),
             calls: WeightCalls::new(platform.clone(), events.clone()),
-            links: Links::new(file.node.agent_port(), events.clone()),
+            links: Links::new(
+                file.node.agent_port(),
+                events.clone(),
+                queue_delay,
+            ),
             platform,
             server,
             reports,
@@ -166,6 +176,7 @@
     async fn look(&mut self) {
         let state = self.platform.state().await.unwrap_or_default();
         self.take(Event::Target(state)).await;
+        self.take(Event::QueueDelay(self.reports.queue_ms())).await;
         self.take(Event::Tick).await;
         let look_ms = self.look_ms();
         let report = self.swarm.report();
