--- a/crates/raildale-core/src/gateway/mod.rs
+++ b/crates/raildale-core/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! * [`routes`]: which service a request is for, and on which terms.
 //! * [`targets`]: what is believed of each target, and which one to pick.
 //! * [`shares`]: which part of a target's slots this entry host may count on.
+//! * [`lapse`]: targets that leave the list and may come back.
 //! * [`fading`]: what was seen of late.
 //! * [`request`]: a request on its way, and what becomes of it.
 //! * [`admission`]: where a request goes, when it waits, and when it is refused.
@@ -24,6 +25,7 @@
 pub mod event_stream;
 pub mod fading;
 pub mod fingerprint;
+pub mod lapse;
 pub mod outcomes;
 pub mod quarantine;
 pub mod request;
--- a/crates/raildale-core/tests/gateway.rs
+++ b/crates/raildale-core/tests/gateway.rs
@@ -7,11 +7,11 @@
     gateway::{
         Admission, Fingerprint, Gateway, GatewayConfig, Outcome, RequestHead,
         Route, RouteKind, Routing, Service, TargetReport, TargetSpec,
+        lapse::{Lapse, StoreView},
         request::Next,
         retry_budget::RetryBound,
         routes::{EngineSpec, NoRoute, Organisation},
         shares::Sender,
-        target::{Lapse, StoreView},
         versions::NamedVersion,
     },
 };
--- a/crates/raildale/src/fleet/entry/host/changes.rs
+++ b/crates/raildale/src/fleet/entry/host/changes.rs
@@ -7,7 +7,7 @@
     fleet_message::ToldVersion,
     gateway::{
         Target,
-        target::{LAPSE_MS, Lapse, StoreView},
+        lapse::{LAPSE_MS, Lapse, StoreView},
         versions::{NamedVersion, VersionNews},
     },
 };
