--- a/crates/raildale-core/src/gateway/target.rs
+++ b/crates/raildale-core/src/gateway/target.rs
@@ -422,9 +422,9 @@
     /// for longer than any way takes tells of its agent, beside a sound
     /// target.
     ///
-    /// On a link that was squeezed in the middle of a fill no report comes for
-    /// a second or two: requests that went there by then reached their target
-    /// 1.7 to 2.1 s later, some after their callers had left.
+    /// Silence is no sign of a quick way: a link that is squeezed in the middle
+    /// of a fill may hold up reports and requests alike for seconds. No gain in
+    /// credit was measured for it.
     pub fn was_way_slow(&self, now_ms: u64) -> bool {
         let (worst_ms, at_ms) = self.worst_way;
         let is_known =
--- a/crates/raildale-core/tests/gateway.rs
+++ b/crates/raildale-core/tests/gateway.rs
@@ -737,8 +737,8 @@
     assert_eq!(sent(next).as_deref(), Some("slow"), "there is no other");
 }
 
-/// A link that was squeezed in the middle of a fill delivers no report for a
-/// second or two: until one comes, nothing else shows how slow it is. An agent
+/// Where a squeezed link holds up reports as well as requests, nothing else
+/// shows how slow it is until one comes. An agent
 /// that is missing for longer than any way takes stands beside a sound target.
 #[parameterized(
     regular = { 100, true },
--- a/crates/raildale/src/fleet/agent/answering.rs
+++ b/crates/raildale/src/fleet/agent/answering.rs
@@ -3,8 +3,8 @@
 //! What stands in the queue of a link can't be called back. An agent fetches
 //! from up to a dozen others: if its link is squeezed meanwhile, whole chunks
 //! of each fill its queue for seconds, and requests to its target wait behind
-//! them. So of each connection only one slice is on its way until it is told
-//! to have come.
+//! them. So of each connection only a few slices are on their way until one is
+//! told to have come.
 
 use std::{rc::Rc, time::Duration};
 
