Log what targets name as their limit of requests

The logs could not tell which answers named a limit, to whom and when. It is kept by the start that names it; no decision looks at it yet.

--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -5,6 +5,7 @@
 use super::{
     ends::{StartId, TargetEnd},
     fading::Fading,
+    notices::Notices,
     quarantine::{Quarantine, Standing},
     request::{
         Admission, Dispatch, Next, Place, RETRY_AFTER_LEAST_MS, Refusal,
@@ -52,6 +53,8 @@
     pub(super) room: WaitingRoom,
     /// Requests that end the targets that run them.
     pub quarantine: Quarantine,
+    /// What targets say of themselves.
+    pub notices: Notices,
 }
 
 /// Milliseconds between two looks for a target that has room.
@@ -98,6 +101,7 @@
             arrivals: Fading::new(DEMAND_HALF_LIFE_MS),
             room: WaitingRoom::new(),
             quarantine: Quarantine::new(),
+            notices: Notices::new(),
         }
     }
 
--- a/crates/raildale-core/src/gateway/mod.rs
+++ b/crates/raildale-core/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 //! * [`fading`]: what was seen of late.
 //! * [`request`]: a request on its way, and what becomes of it.
 //! * [`admission`]: where a request goes, when it waits, and when it is refused.
+//! * [`notices`]: what targets say of themselves in their answers.
 //! * [`outcomes`]: what follows from how it went at a target.
 //! * [`versions`]: which versions of weights bound what may start.
 //! * [`waiting`]: how long a request waits for a target, and what then.
@@ -26,6 +27,7 @@
 pub mod fading;
 pub mod fingerprint;
 pub mod lapse;
+pub mod notices;
 pub mod outcomes;
 pub mod quarantine;
 pub mod request;
@@ -41,6 +43,7 @@
     admission::{Gateway, GatewayConfig},
     event_stream::EventSplitter,
     fingerprint::Fingerprint,
+    notices::TargetNotice,
     request::{Admission, Refusal, RequestHead},
     retry_budget::RetryBudget,
     routes::{Limits, Route, RouteKind, Routing, Service},
--- a/crates/raildale-core/src/swarm/reducer/messages.rs
+++ b/crates/raildale-core/src/swarm/reducer/messages.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     Name,
+    gateway::TargetNotice,
     log_event::LogEvent,
     swarm::{
         digest::WeightDigest,
@@ -51,6 +52,8 @@
     pub orders: u64,
     /// When it started, in Unix milliseconds, if it tells.
     pub born_ms: Option<u64>,
+    /// What its answer says of it.
+    pub notice: TargetNotice,
 }
 
 /// Which start of the target is meant: each start has an id of its own.
--- a/crates/raildale-core/tests/swarm_world/target.rs
+++ b/crates/raildale-core/tests/swarm_world/target.rs
@@ -60,6 +60,7 @@
         };
         Target {
             state: TargetState {
+                notice: Default::default(),
                 is_up: true,
                 serves_version,
                 running: 4,
--- a/crates/raildale/src/fleet/agent/worker.rs
+++ b/crates/raildale/src/fleet/agent/worker.rs
@@ -5,6 +5,7 @@
 use raildale_core::{
     LogEvent, Name,
     fleet_message::AskBriefing,
+    gateway::TargetNotice,
     swarm::{
         Effect, Event, Item, LoadMethod, OrderGuard, OrderOutcome, Source,
         SwapConfig, Swarm, SwarmConfig, TargetStart,
@@ -73,6 +74,8 @@
     server: Server,
     reports: Reports,
     events: mpsc::UnboundedSender<Event>,
+    /// What the target said of itself last.
+    notice: TargetNotice,
 }
 
 /// Runs an agent for as long as the process runs.
@@ -142,6 +145,7 @@
             server,
             reports,
             events,
+            notice: TargetNotice::default(),
         };
         let detail = format!("role=agent ip={}", file.node.ip);
         logs::event(&agent.name, LogEvent::Started, &detail);
@@ -174,7 +178,11 @@
     /// Looks at the target, tells the entry hosts, and asks the store if
     /// nobody else tells what it knows.
     async fn look(&mut self) {
-        let state = self.platform.state().await.unwrap_or_default();
+        let state = self.platform.state().await;
+        if let Some(state) = &state {
+            self.log_notice(state.notice);
+        }
+        let state = state.unwrap_or_default();
         self.take(Event::Target(state)).await;
         self.take(Event::QueueDelay(self.reports.queue_ms())).await;
         self.take(Event::Tick).await;
@@ -186,6 +194,14 @@
         }
     }
 
+    /// Writes what the target says of itself, once it says anything else.
+    fn log_notice(&mut self, notice: TargetNotice) {
+        if std::mem::replace(&mut self.notice, notice) != notice {
+            let detail = format!("limit_per_s={:?}", notice.limit_per_s);
+            logs::event(&self.name, LogEvent::TargetLimited, &detail);
+        }
+    }
+
     async fn take(&mut self, event: Event) {
         let mut effects = Vec::new();
         self.swarm.reduce(now_ms(), event, &mut effects);
--- a/crates/raildale/src/fleet/edge.rs
+++ b/crates/raildale/src/fleet/edge.rs
@@ -13,7 +13,9 @@
 use raildale_core::{
     Name,
     catalog::{Change, Kind, Snapshot, StoredObject},
-    gateway::{RequestHead, Routing, TargetSpec, quarantine::Record},
+    gateway::{
+        RequestHead, Routing, TargetNotice, TargetSpec, quarantine::Record,
+    },
     members::MemberEntry,
     swarm::{
         LoadMethod, OrderGuard, OrderOutcome, TargetStart, TargetState,
@@ -100,7 +102,7 @@
 }
 
 /// What an answer's head tells.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct AnswerHead {
     /// Whether it answers the try that was sent, not an earlier one.
     pub is_own: bool,
@@ -114,6 +116,8 @@
     pub is_event_stream: bool,
     /// Whether its body is encoded on the way, which targets never do.
     pub is_encoded: bool,
+    /// What the target says of itself.
+    pub notice: TargetNotice,
 }
 
 /// What goes with a request to a target.
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -2,10 +2,12 @@
 //!
 //! * [`known_store`]: what is known of the store, by kind.
 //! * `changes`: what the store's changes mean to routing and members.
+//! * `notices`: what targets say of themselves.
 //! * `suspects`: what is told and written of requests that end their targets.
 
 mod changes;
 pub mod known_store;
+mod notices;
 mod suspects;
 
 use std::{
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -444,6 +444,10 @@
     fn judge(&self, opened: &Opened<P>) -> Option<Outcome> {
         let (parts, ()) = head_of(&opened.response);
         let head = self.host.platform.answer_head(&parts, &self.head.id);
+        if head.is_own && !head.is_misdirected {
+            let sent_ms = opened.attempt.sent_ms;
+            self.host.note_notice(&self.request, sent_ms, head.notice);
+        }
         if !head.is_own || head.is_encoded {
             return Some(Outcome::Broken);
         }
