What all entry hosts sent lately counts against a target's limit

What callers saw: nothing; a target that had named 2.2 a second got 22 requests in the 4 s that ended 3 s later, 18 allowed. Cause: entry hosts counted from the naming on, and a target names a limit because it has just got more than that. Class: a bound over a window, kept from the moment at which it became known.

Entry hosts remember when they sent to each target, and tell with the limit how many requests they sent there in the last 4 s. While all together have sent more than the limit allows for that long, nothing is sent; until the others' counts are known, each that sent more than its own part holds back. This also corrects whatever tokens get wrong, as views of the fleet differ.

--- a/crates/raildale-core/src/fleet_message.rs
+++ b/crates/raildale-core/src/fleet_message.rs
@@ -93,6 +93,9 @@
     /// Milliseconds since it said so last.
     #[prost(uint64, tag = "3")]
     pub age_ms: u64,
+    /// Requests that the sender has sent to it of late.
+    #[prost(uint32, tag = "4")]
+    pub sent_lately: u32,
 }
 
 /// A request that may end the targets that run it.
--- a/crates/raildale-core/src/gateway/notices.rs
+++ b/crates/raildale-core/src/gateway/notices.rs
@@ -5,7 +5,10 @@
 //! not change what a start has said. Entry hosts tell one another; the word
 //! that was said last holds.
 
-use std::collections::HashMap;
+use std::{
+    collections::{HashMap, VecDeque},
+    net::IpAddr,
+};
 
 use super::{
     ends::StartId,
@@ -40,13 +43,15 @@
 #[derive(Clone, Debug, Default)]
 pub struct Notices {
     by_start: HashMap<StartId, Known>,
+    /// When requests were sent to each start, within [`WINDOW_MS`].
+    sent_ms: HashMap<StartId, VecDeque<u64>>,
     /// What is added to the process's clock for the time of day, in
     /// milliseconds.
     time_of_day_ms: i64,
 }
 
 /// What one start says.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Known {
     limit_per_s: Option<f64>,
     /// When it said so last.
@@ -56,8 +61,28 @@
     /// The last token of its limit that was used, by the time of day in
     /// seconds.
     used_s: f64,
+    /// Until when the others' counts are on their way.
+    untold_until_ms: u64,
+    /// What the other entry hosts have sent there.
+    others: HashMap<IpAddr, Sent>,
+}
+
+/// Requests that another entry host has sent to a start within [`WINDOW_MS`],
+/// as it told.
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    at_ms: u64,
+    count: u32,
 }
 
+/// The span over which targets count what they get, in milliseconds, as the
+/// platform's users tell.
+const WINDOW_MS: u64 = 4_000;
+
+/// Time from learning of a limit until the others' counts are known, in
+/// milliseconds: a heartbeat and a bit.
+const UNTOLD_MS: u64 = 500;
+
 /// The least rate that is kept, in requests a second: a target that takes
 /// none is asked now and then, since only an answer can end its limit.
 const LEAST_PER_S: f64 = 0.1;
@@ -117,7 +142,7 @@
             };
         }
         let said_ms = if limit_per_s.is_some() { now_ms } else { sent_ms };
-        known.say(limit_per_s, said_ms, now_s)
+        known.say(limit_per_s, said_ms, now_ms, now_s)
     }
 
     /// What others are to know, the latest first: all that is known here, from
@@ -136,23 +161,37 @@
             start: start.0,
             limit_per_s: known.limit_per_s,
             age_ms: now_ms.saturating_sub(known.said_ms),
+            sent_lately: self.sent_lately(now_ms, *start),
         };
         due.into_iter().take(TOLD_MOST).map(tell).collect()
     }
 
-    /// Takes in what another entry host tells; returns what is new by it.
+    /// Takes in what the entry host at `from` tells; returns what is new by
+    /// it.
     ///
     /// What is known already does not become younger by being told: the way
     /// here takes time, and two that tell each other would never let it age.
-    pub fn take_told(&mut self, now_ms: u64, told: &ToldNotice) -> NoticeNews {
+    pub fn take_told(
+        &mut self,
+        now_ms: u64,
+        from: IpAddr,
+        told: &ToldNotice,
+    ) -> NoticeNews {
         let start = StartId(told.start);
         let limit_per_s = told.limit_per_s.filter(|rate| rate.is_finite());
-        if self.limit_per_s(start) == limit_per_s {
+        let is_known = self.limit_per_s(start) == limit_per_s;
+        if is_known && limit_per_s.is_none() {
             return NoticeNews::None;
         }
         let now_s = self.time_of_day_s(now_ms);
         let known = self.by_start.entry(start).or_default();
-        known.say(limit_per_s, now_ms.saturating_sub(told.age_ms), now_s)
+        let sent = Sent { at_ms: now_ms, count: told.sent_lately };
+        known.others.insert(from, sent);
+        if is_known {
+            return NoticeNews::None;
+        }
+        let said_ms = now_ms.saturating_sub(told.age_ms);
+        known.say(limit_per_s, said_ms, now_ms, now_s)
     }
 
     /// Forgets starts that are listed no longer, a while after their last
@@ -161,15 +200,19 @@
         self.by_start.retain(|start, known| {
             now_ms < known.said_ms + ENDED_TOLD_MS || is_listed(*start)
         });
-    }
-
-    /// Whether nothing was said by any start.
-    pub fn is_empty(&self) -> bool {
-        self.by_start.is_empty()
+        for known in self.by_start.values_mut() {
+            known.others.retain(|_, sent| now_ms < sent.at_ms + WINDOW_MS);
+        }
+        self.sent_ms.retain(|_, times| {
+            times.back().is_some_and(|ms| now_ms < ms + WINDOW_MS)
+        });
     }
 
     /// Whether a start takes one more request of this entry host, whose part
     /// of its limit is `part`.
+    ///
+    /// What all have sent lately counts as well as the tokens: a start that
+    /// names a limit has just got more than that.
     pub fn has_token(
         &self,
         now_ms: u64,
@@ -178,7 +221,15 @@
     ) -> bool {
         let Some(known) = self.by_start.get(&start) else { return true };
         let Some(quota) = known.quota(start, part) else { return true };
-        quota.token(self.time_of_day_s(now_ms), known.used_s).is_some()
+        let most = quota.most_in(WINDOW_MS as f64 / 1e3);
+        let own = self.sent_lately(now_ms, start);
+        // Until the others' counts have come, all may have sent as much.
+        let is_in_doubt = now_ms < known.untold_until_ms;
+        if is_in_doubt && f64::from(own) > most * quota.part.width {
+            return false;
+        }
+        f64::from(known.sent_by_others(now_ms) + own) <= most
+            && quota.token(self.time_of_day_s(now_ms), known.used_s).is_some()
     }
 
     /// Counts a request out to a start.
@@ -188,12 +239,24 @@
         start: StartId,
         part: impl FnOnce() -> OwnPart,
     ) {
+        let times = self.sent_ms.entry(start).or_default();
+        times.push_back(now_ms);
+        while times.front().is_some_and(|ms| ms + WINDOW_MS <= now_ms) {
+            times.pop_front();
+        }
         let now_s = self.time_of_day_s(now_ms);
         let Some(known) = self.by_start.get_mut(&start) else { return };
         let Some(quota) = known.quota(start, part) else { return };
         known.used_s = quota.token(now_s, known.used_s).unwrap_or(now_s);
     }
 
+    /// Requests that this entry host has sent to a start within the window.
+    fn sent_lately(&self, now_ms: u64, start: StartId) -> u32 {
+        let Some(times) = self.sent_ms.get(&start) else { return 0 };
+        let is_late = |ms: &&u64| **ms + WINDOW_MS > now_ms;
+        times.iter().rev().take_while(is_late).count() as u32
+    }
+
     fn time_of_day_s(&self, now_ms: u64) -> f64 {
         now_ms.saturating_add_signed(self.time_of_day_ms) as f64 / 1e3
     }
@@ -206,6 +269,7 @@
         &mut self,
         limit_per_s: Option<f64>,
         said_ms: u64,
+        now_ms: u64,
         now_s: f64,
     ) -> NoticeNews {
         if said_ms < self.said_ms {
@@ -216,6 +280,7 @@
         if before.is_none() {
             // What is on its way has used the tokens so far.
             self.used_s = now_s;
+            self.untold_until_ms = now_ms + UNTOLD_MS;
         }
         match (before, limit_per_s) {
             (None, Some(_)) => NoticeNews::Lower,
@@ -226,6 +291,13 @@
         }
     }
 
+    fn sent_by_others(&self, now_ms: u64) -> u32 {
+        let told = self.others.values();
+        told.filter(|sent| now_ms < sent.at_ms + WINDOW_MS)
+            .map(|sent| sent.count)
+            .sum()
+    }
+
     fn quota(
         &self,
         start: StartId,
--- a/crates/raildale-core/src/gateway/quota.rs
+++ b/crates/raildale-core/src/gateway/quota.rs
@@ -67,6 +67,12 @@
         Some(number as f64 / self.per_s)
     }
 
+    /// Requests of all entry hosts in a span at most: its tokens, and those
+    /// that were kept before it.
+    pub fn most_in(&self, span_s: f64) -> f64 {
+        self.per_s * (span_s + KEPT_S)
+    }
+
     fn is_own(&self, number: u64) -> bool {
         let place = number.wrapping_mul(GOLDEN).wrapping_add(self.start.0);
         self.part.holds(place as f64 / 2f64.powi(64))
--- a/crates/raildale-core/src/gateway/targets.rs
+++ b/crates/raildale-core/src/gateway/targets.rs
@@ -308,9 +308,6 @@
 
     /// Forgets what starts said that are listed no longer.
     pub fn sweep_notices(&mut self, now_ms: u64) {
-        if self.notices.is_empty() {
-            return;
-        }
         let listed: HashSet<StartId> =
             self.by_id.values().map(|target| target.start).collect();
         self.notices.sweep(now_ms, |start| listed.contains(&start));
--- a/crates/raildale-core/tests/target_limit.rs
+++ b/crates/raildale-core/tests/target_limit.rs
@@ -10,7 +10,10 @@
 //! that requests wait. Some attempts are refused and some streams break, so
 //! that requests are sent again and go on elsewhere.
 
-use std::{collections::VecDeque, net::SocketAddr};
+use std::{
+    collections::VecDeque,
+    net::{IpAddr, SocketAddr},
+};
 
 use raildale_core::{
     Name,
@@ -229,8 +232,13 @@
             .map(|host| self.hosts[*host].targets.notices.told(now_ms))
             .collect();
         for host in &heard {
-            for one in told.iter().flatten() {
-                self.hosts[*host].targets.notices.take_told(now_ms, one);
+            for (from, told) in heard.iter().zip(&told) {
+                let ip = IpAddr::from([10, 1, 0, *from as u8]);
+                let others = told.iter().filter(|_| from != host);
+                let notices = &mut self.hosts[*host].targets.notices;
+                for one in others {
+                    notices.take_told(now_ms, ip, one);
+                }
             }
         }
         for host in 0..self.hosts.len() {
@@ -575,8 +583,9 @@
     notices.note(now_ms, start, now_ms - 50, limited);
     let news = notices.note(now_ms + 10, start, now_ms - 40, silent);
     assert_eq!(news, NoticeNews::None);
-    let told = ToldNotice { start: 7, limit_per_s: None, age_ms: 500 };
-    notices.take_told(now_ms + 20, &told);
+    let told = ToldNotice { start: 7, age_ms: 500, ..ToldNotice::default() };
+    let from = IpAddr::from([10, 1, 0, 1]);
+    notices.take_told(now_ms + 20, from, &told);
     assert_eq!(notices.limit_per_s(start), Some(2.0));
     let news = notices.note(now_ms + 100, start, now_ms + 30, silent);
     assert_eq!(news, NoticeNews::Higher);
--- a/crates/raildale/src/fleet/entry/host/notices.rs
+++ b/crates/raildale/src/fleet/entry/host/notices.rs
@@ -1,5 +1,7 @@
 //! What targets say of themselves in their answers.
 
+use std::net::IpAddr;
+
 use raildale_core::{
     LogEvent,
     fleet_message::ToldNotice,
@@ -40,13 +42,15 @@
         }
     }
 
-    /// Takes in what another entry host tells.
-    pub fn take_told_notices(&self, told: Vec<ToldNotice>) {
+    /// Takes in what the entry host at `from` tells.
+    pub fn take_told_notices(&self, from: IpAddr, told: Vec<ToldNotice>) {
         let now = now_ms();
         let mut gateway = self.gateway.borrow_mut();
         let mut news = told;
         let notices = &mut gateway.targets.notices;
-        news.retain(|one| notices.take_told(now, one) != NoticeNews::None);
+        news.retain(|one| {
+            notices.take_told(now, from, one) != NoticeNews::None
+        });
         drop(gateway);
         for one in news {
             let detail = format!(
--- a/crates/raildale/src/fleet/entry/peers.rs
+++ b/crates/raildale/src/fleet/entry/peers.rs
@@ -121,7 +121,7 @@
     };
     host.take_told_versions(hello.versions, hello.versions_heard_age_ms);
     host.take_told_suspects(hello.suspects);
-    host.take_told_notices(hello.notices);
+    host.take_told_notices(ip, hello.notices);
     host.members.borrow_mut().heard(now_ms(), entry, heartbeat)
 }
 
