Requests that no limit lets through are refused at once

What callers saw: had all targets of a service got more than their limits, a request would have waited for its whole goal and then been refused, with a time to come back that knew nothing of the limits (read, and shown by the test). The time until the first target takes requests again now counts when it is judged whether waiting helps, and is what callers are told, up to the third of their time that they heed.

--- a/crates/raildale-core/src/gateway/notices.rs
+++ b/crates/raildale-core/src/gateway/notices.rs
@@ -232,6 +232,22 @@
             && quota.token(self.time_of_day_s(now_ms), known.used_s).is_some()
     }
 
+    /// Milliseconds until what all have sent to a start is within its limit
+    /// again, if it has come evenly; 0 if it is now.
+    pub fn blocked_ms(&self, now_ms: u64, start: StartId) -> u64 {
+        let Some(known) = self.by_start.get(&start) else { return 0 };
+        let Some(quota) = known.quota(start, || OwnPart::ALL) else {
+            return 0;
+        };
+        let own = self.sent_lately(now_ms, start);
+        let sent = f64::from(known.sent_by_others(now_ms) + own);
+        let over = sent - quota.most_in(WINDOW_MS as f64 / 1e3);
+        match over > 0.0 {
+            true => (over / sent * WINDOW_MS as f64).ceil() as u64,
+            false => 0,
+        }
+    }
+
     /// Counts a request out to a start.
     pub fn note_sent(
         &mut self,
--- a/crates/raildale-core/src/gateway/targets.rs
+++ b/crates/raildale-core/src/gateway/targets.rs
@@ -384,6 +384,15 @@
         if open > 0.0 { open } else { targets().map(rate).sum() }
     }
 
+    /// Milliseconds until the limits of a service's open targets let any
+    /// request through again; 0 if one does now, or none is open.
+    pub fn blocked_ms(&self, now_ms: u64, service: &str) -> u64 {
+        let open = self.of(service).filter(|target| target.is_open(now_ms));
+        open.map(|target| self.notices.blocked_ms(now_ms, target.start))
+            .min()
+            .unwrap_or(0)
+    }
+
     /// Targets of a service, whatever their state.
     pub fn count(&self, service: &str) -> u32 {
         self.of(service).count() as u32
--- a/crates/raildale-core/src/gateway/waiting.rs
+++ b/crates/raildale-core/src/gateway/waiting.rs
@@ -46,6 +46,9 @@
     /// Requests that targets finish in a second, for this entry host; while
     /// none serves, that they will.
     pub rate_per_s: f64,
+    /// Milliseconds until a target takes any again; 0 if one does. Targets
+    /// that name a limit take none while they have got more than that.
+    pub blocked_ms: u64,
 }
 
 /// What becomes of a request that finds no target.
@@ -253,10 +256,10 @@
                 request, waited_ms, left_ms, queue_ms, situation,
             );
         }
-        if self.will_be_in_time(now_ms, request, situation.rate_per_s) {
+        if self.will_be_in_time(now_ms, request, situation) {
             return Verdict::Wait(Place::InTime);
         }
-        self.judge_late(now_ms, request, left_ms)
+        self.judge_late(now_ms, request, left_ms, situation.blocked_ms)
     }
 
     /// Milliseconds until those that wait here have all been taken.
@@ -272,19 +275,20 @@
         &self,
         now_ms: u64,
         request: &Admission,
-        rate_per_s: f64,
+        situation: Situation,
     ) -> bool {
         if self.is_late(now_ms, request) {
             return false;
         }
         let queue = self.queues.get(&request.service.name);
-        if request.last_event_ms.is_some() {
+        if request.last_event_ms.is_some() && situation.blocked_ms == 0 {
             return true;
         }
         let turn = request.in_time_turn(goal_at_ms(request));
         let ahead = queue.map_or(0, |queue| queue.before(turn));
         let taken_ms = now_ms.saturating_sub(request.arrived_ms)
-            + time_ms(ahead, rate_per_s)
+            + situation.blocked_ms
+            + time_ms(ahead, situation.rate_per_s)
             + self.first_event_ms(now_ms, request);
         taken_ms <= request.route.goal_ms
     }
@@ -297,6 +301,7 @@
         now_ms: u64,
         request: &Admission,
         left_ms: u64,
+        blocked_ms: u64,
     ) -> Verdict {
         let first_event_ms = self.first_event_ms(now_ms, request);
         let queue = self.queues.get(&request.service.name);
@@ -306,6 +311,7 @@
                 queue.map_or(Some(0), |queue| queue.late_ms(now_ms))
             }
         };
+        let late_ms = late_ms.map(|ms| ms + blocked_ms);
         match late_ms {
             Some(ms) if ms + first_event_ms < left_ms => {
                 Verdict::Wait(Place::Late)
--- a/crates/raildale-core/tests/target_limit.rs
+++ b/crates/raildale-core/tests/target_limit.rs
@@ -90,6 +90,16 @@
     Routing::new(1).with_route(route).with_service(service)
 }
 
+fn head() -> RequestHead {
+    RequestHead {
+        host: "a".into(),
+        path: "/".into(),
+        deadline_ms: Some(6_000),
+        model: Some("m".into()),
+        ..RequestHead::default()
+    }
+}
+
 fn centre(place: usize) -> Name {
     Name::from(format!("dc-{}", place % 3))
 }
@@ -270,26 +280,29 @@
 
     fn play(&mut self) {
         while self.now_ms < START_MS + RUN_MS {
-            self.now_ms += STEP_MS;
-            if self.now_ms.is_multiple_of(REPORT_MS) {
-                self.report();
-            }
-            if self.trouble == Trouble::Restart
-                && self.now_ms == TROUBLE_MS.start
-            {
-                self.restart();
-            }
-            if self.now_ms.is_multiple_of(BEAT_MS) {
-                self.tell(self.now_ms);
-            }
-            self.answer();
-            for host in 0..self.hosts.len() {
-                let is_still =
-                    self.trouble == Trouble::Freeze && self.is_struck(host);
-                if !is_still {
-                    self.arrive(host);
-                    self.send(host);
-                }
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.now_ms += STEP_MS;
+        if self.now_ms.is_multiple_of(REPORT_MS) {
+            self.report();
+        }
+        let is_restart = self.trouble == Trouble::Restart;
+        if is_restart && self.now_ms == TROUBLE_MS.start {
+            self.restart();
+        }
+        if self.now_ms.is_multiple_of(BEAT_MS) {
+            self.tell(self.now_ms);
+        }
+        self.answer();
+        for host in 0..self.hosts.len() {
+            let is_still =
+                self.trouble == Trouble::Freeze && self.is_struck(host);
+            if !is_still {
+                self.arrive(host);
+                self.send(host);
             }
         }
     }
@@ -364,13 +377,7 @@
 
     /// Requests that come to an entry host.
     fn arrive(&mut self, host: usize) {
-        let head = RequestHead {
-            host: "a".into(),
-            path: "/".into(),
-            deadline_ms: Some(6_000),
-            model: Some("m".into()),
-            ..RequestHead::default()
-        };
+        let head = head();
         let chance = DEMAND_PER_S * STEP_MS as f64 / 1e3;
         if self.rng.random_bool(chance) {
             let draw = self.rng.random();
@@ -650,3 +657,30 @@
     let next = StartId::of(&born_again);
     assert_eq!(gateway.targets.notices.limit_per_s(next), None);
 }
+
+/// All targets name a limit just after they got far more. What comes now is
+/// refused at once, and told a time at which a target takes requests again;
+/// it does not wait until it cannot be in time any more.
+#[test]
+fn what_no_limit_lets_through_is_refused_at_once() {
+    let mut world = World::naming(3, vec![Some(1.0); 3]);
+    let now_ms = world.named_ms + 1_000;
+    while world.now_ms < now_ms {
+        world.step();
+    }
+    let gateway = &mut world.hosts[0];
+    let head = head();
+    let admitted = gateway.admit(now_ms, &head, 0);
+    let mut request = admitted.expect("it is let in");
+    let next = gateway.next(now_ms, &mut request, now_ms, 0);
+    let Next::Refuse(refusal) = next else {
+        panic!("it was not refused: {next:?}");
+    };
+    let back_ms = refusal.retry_after_ms.expect("it has not run");
+    let blocked_ms = gateway.targets.blocked_ms(now_ms, "model");
+    assert!(blocked_ms > 400, "the targets take none: {blocked_ms} ms");
+    // Callers heed a third of the time that they have left.
+    let heeded_ms = (request.due_ms - request.arrived_ms) / 3;
+    let least_ms = blocked_ms.min(heeded_ms);
+    assert!(back_ms >= least_ms, "{back_ms} ms, blocked for {blocked_ms}");
+}
