A target that says in an answer that it leaves gets nothing more

What callers saw: nothing, their requests were answered whole, later ones would have been cut. A target's word reached the entry host that passed its answer on and did not bind it: that a target leaves was read from the store's list alone, which for 12 s could not tell. Class: one source of a fact is believed, and a nearer one is not read.

The word is kept by the start that said it, for good, where limits are kept; every choice of a target asks for it, whatever the list, reports and other entry hosts say. The list may lose the target and have it back; another start at the address is another target. Others hear at once and avoid the target while another fits: their word closes nothing, so that a wrong one empties no service. When all targets of a service leave, requests are refused at once.

Before, four tests: each request went to the target that leaves.

--- a/crates/raildale-core/src/fleet_message.rs
+++ b/crates/raildale-core/src/fleet_message.rs
@@ -96,6 +96,9 @@
     /// Requests that the sender has sent to it of late.
     #[prost(uint32, tag = "4")]
     pub sent_lately: u32,
+    /// Whether it has told the sender that it leaves.
+    #[prost(bool, tag = "5")]
+    pub is_leaving: bool,
 }
 
 /// A request that may end the targets that run it.
--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -359,6 +359,7 @@
             ready_ms: self.targets.ready_in_ms(now_ms, &service.name),
             rate_per_s,
             blocked_ms: self.targets.blocked_ms(now_ms, &service.name),
+            all_leave: self.targets.all_leave(&service.name),
         };
         let waited_ms = now_ms.saturating_sub(since_ms);
         match self.room.judge(now_ms, request, waited_ms, situation) {
--- a/crates/raildale-core/src/gateway/notices.rs
+++ b/crates/raildale-core/src/gateway/notices.rs
@@ -63,8 +63,10 @@
     limit_per_s: Option<f64>,
     /// When it said so last.
     said_ms: u64,
-    /// Whether it has told this entry host that it leaves.
-    is_leaving: bool,
+    /// When it told this entry host last that it leaves.
+    leaving_ms: Option<u64>,
+    /// Whether another entry host told that it leaves.
+    is_told_leaving: bool,
     /// Until when it wants nothing from this entry host.
     waits_until_ms: u64,
     /// Whether its last answer did not decode.
@@ -102,7 +104,15 @@
 /// nobody takes longer to hear it.
 const ENDED_TOLD_MS: u64 = 10_000;
 
-/// Starts in one heartbeat at most: 1.3 KB.
+/// How long it is told that a start leaves, in milliseconds: most are gone by
+/// then, and whoever it answers hears it anew.
+const LEAVING_TOLD_MS: u64 = 30_000;
+
+/// How long it is remembered that a start leaves which is listed no longer, in
+/// milliseconds: its entry may lapse and be back with an outage of the store.
+const LEAVING_KEPT_MS: u64 = 600_000;
+
+/// Starts in one heartbeat at most: 1.4 KB.
 const TOLD_MOST: usize = 64;
 
 impl Notices {
@@ -126,6 +136,18 @@
         self.by_start.get(&start)?.limit_per_s
     }
 
+    /// Whether a start has told this entry host that it leaves.
+    pub fn is_leaving(&self, start: StartId) -> bool {
+        let known = self.by_start.get(&start);
+        known.is_some_and(|known| known.leaving_ms.is_some())
+    }
+
+    /// Whether a start leaves by the word of another entry host.
+    pub fn is_told_leaving(&self, start: StartId) -> bool {
+        let known = self.by_start.get(&start);
+        known.is_some_and(|known| known.is_told_leaving)
+    }
+
     /// Takes in what the answer to a request that was sent at `sent_ms` says;
     /// returns what is new by it.
     ///
@@ -150,8 +172,7 @@
             news.push(NoticeNews::Malformed);
         }
         known.is_malformed = notice.is_malformed;
-        if notice.is_leaving && !known.is_leaving {
-            known.is_leaving = true;
+        if notice.is_leaving && known.leaving_ms.replace(now_ms).is_none() {
             news.push(NoticeNews::Leaving);
         }
         if let Some(wait_ms) = notice.retry_after_ms {
@@ -169,8 +190,12 @@
     /// whomever, so that it outlasts those who heard it.
     pub fn told(&self, now_ms: u64) -> Vec<ToldNotice> {
         let is_due = |known: &Known| {
-            known.limit_per_s.is_some()
-                || known.said_ms > 0 && now_ms < known.said_ms + ENDED_TOLD_MS
+            let has_ended =
+                known.said_ms > 0 && now_ms < known.said_ms + ENDED_TOLD_MS;
+            let is_leaving = known
+                .leaving_ms
+                .is_some_and(|ms| now_ms < ms + LEAVING_TOLD_MS);
+            known.limit_per_s.is_some() || has_ended || is_leaving
         };
         let mut due: Vec<(&StartId, &Known)> =
             self.by_start.iter().filter(|(_, k)| is_due(k)).collect();
@@ -182,6 +207,7 @@
             limit_per_s: known.limit_per_s,
             age_ms: now_ms.saturating_sub(known.said_ms),
             sent_lately: self.sent_lately(now_ms, *start),
+            is_leaving: known.leaving_ms.is_some(),
         };
         due.into_iter().take(TOLD_MOST).map(tell).collect()
     }
@@ -196,29 +222,38 @@
         now_ms: u64,
         from: IpAddr,
         told: &ToldNotice,
-    ) -> Option<NoticeNews> {
+    ) -> Vec<NoticeNews> {
+        let mut news = Vec::new();
         let start = StartId(told.start);
         let limit_per_s = told.limit_per_s.filter(|rate| rate.is_finite());
         let is_known = self.limit_per_s(start) == limit_per_s;
-        if is_known && limit_per_s.is_none() {
-            return None;
+        if is_known && limit_per_s.is_none() && !told.is_leaving {
+            return news;
         }
         let now_s = self.time_of_day_s(now_ms);
         let known = self.by_start.entry(start).or_default();
+        if told.is_leaving && !known.is_told_leaving {
+            known.is_told_leaving = true;
+            news.push(NoticeNews::Leaving);
+        }
         let sent = Sent { at_ms: now_ms, count: told.sent_lately };
         known.others.insert(from, sent);
-        if is_known {
-            return None;
+        if !is_known {
+            let said_ms = now_ms.saturating_sub(told.age_ms);
+            news.extend(known.say(limit_per_s, said_ms, now_ms, now_s));
         }
-        let said_ms = now_ms.saturating_sub(told.age_ms);
-        known.say(limit_per_s, said_ms, now_ms, now_s)
+        news
     }
 
     /// Forgets starts that are listed no longer, a while after their last
     /// word.
     pub fn sweep(&mut self, now_ms: u64, is_listed: impl Fn(StartId) -> bool) {
         self.by_start.retain(|start, known| {
-            now_ms < known.said_ms + ENDED_TOLD_MS || is_listed(*start)
+            let is_leaving = known
+                .leaving_ms
+                .is_some_and(|ms| now_ms < ms + LEAVING_KEPT_MS);
+            let is_new = now_ms < known.said_ms + ENDED_TOLD_MS;
+            is_new || is_leaving || is_listed(*start)
         });
         for known in self.by_start.values_mut() {
             known.others.retain(|_, sent| now_ms < sent.at_ms + WINDOW_MS);
--- a/crates/raildale-core/src/gateway/targets.rs
+++ b/crates/raildale-core/src/gateway/targets.rs
@@ -150,7 +150,7 @@
     /// Slots of a service's open targets, by data centre.
     fn supplies(&self, now_ms: u64, service: &str) -> Vec<(Name, f64)> {
         let mut supplies: BTreeMap<Name, f64> = BTreeMap::new();
-        for target in self.of(service).filter(|t| t.is_open(now_ms)) {
+        for target in self.of(service).filter(|t| self.is_open(t, now_ms)) {
             let centre = target.spec.data_centre.clone();
             let slots = f64::from(target.spec.slots);
             *supplies.entry(centre).or_default() += slots;
@@ -347,7 +347,7 @@
 
     /// Whether some target could take a request if it had room.
     pub fn any_fits(&self, now_ms: u64, need: Need<'_>) -> bool {
-        self.of(need.service).any(|target| fits(target, now_ms, need))
+        self.of(need.service).any(|target| self.fits(target, now_ms, need))
     }
 
     /// Whether some target could take a request now.
@@ -371,7 +371,7 @@
         let serves = |target: &&Target| {
             let has_weights = service.engine.is_none()
                 || target.serves_version(now_ms).is_some();
-            target.is_open(now_ms) && has_weights
+            self.is_open(target, now_ms) && has_weights
         };
         let rate = |target: &Target| {
             let by_slots =
@@ -387,7 +387,7 @@
     /// Milliseconds until the limits of a service's open targets let any
     /// request through again; 0 if one does now, or none is open.
     pub fn blocked_ms(&self, now_ms: u64, service: &str) -> u64 {
-        let open = self.of(service).filter(|target| target.is_open(now_ms));
+        let open = self.of(service).filter(|t| self.is_open(t, now_ms));
         open.map(|target| self.notices.blocked_ms(now_ms, target.start))
             .min()
             .unwrap_or(0)
@@ -429,14 +429,22 @@
     ///
     /// One with a slow way is none while another fits, though that one be
     /// full: on a squeezed link requests arrived 0.9 s after their callers
-    /// had left.
+    /// had left. One that leaves by the word of another entry host is none
+    /// either while another fits: its own answers, and nobody else, close it.
     fn candidates<'a>(
         &'a self,
         now_ms: u64,
         need: Need<'a>,
     ) -> impl Iterator<Item = &'a Target> {
         let fitting = move || {
-            self.of(need.service).filter(move |t| fits(t, now_ms, need))
+            self.of(need.service).filter(move |t| self.fits(t, now_ms, need))
+        };
+        let stays = move |target: &&Target| {
+            !self.notices.is_told_leaving(target.start)
+        };
+        let has_staying = fitting().any(|target| stays(&target));
+        let fitting = move || {
+            fitting().filter(move |target| !has_staying || stays(target))
         };
         let is_quick = move |target: &&Target| !target.was_way_slow(now_ms);
         let has_quick = fitting().any(|target| is_quick(&target));
@@ -445,6 +453,30 @@
             .filter(move |target| self.has_room(target, now_ms, need))
     }
 
+    fn fits(&self, target: &Target, now_ms: u64, need: Need<'_>) -> bool {
+        let is_new =
+            !need.needs_weights || is_new_enough(target, now_ms, need.bounds);
+        self.is_open(target, now_ms)
+            && is_new
+            && !need.tried.contains(&target.spec.id)
+    }
+
+    /// Whether new requests may go to a target at all.
+    ///
+    /// One that has said in an answer that it leaves is bound by that, whatever
+    /// the list says: the store may be cut off from it for as long as it stays.
+    fn is_open(&self, target: &Target, now_ms: u64) -> bool {
+        target.is_open(now_ms) && !self.notices.is_leaving(target.start)
+    }
+
+    /// Whether every target of a service that is known leaves.
+    pub fn all_leave(&self, service: &str) -> bool {
+        let leaves = |target: &Target| {
+            target.spec.is_draining || self.notices.is_leaving(target.start)
+        };
+        self.of(service).all(leaves) && self.of(service).next().is_some()
+    }
+
     /// A part of the candidates, from a drawn place on: so many that about
     /// [`ALIKE_MOST`] entry hosts look at each.
     fn looked_at<'a>(
@@ -516,12 +548,6 @@
     }
 }
 
-fn fits(target: &Target, now_ms: u64, need: Need<'_>) -> bool {
-    target.is_open(now_ms)
-        && (!need.needs_weights || is_new_enough(target, now_ms, need.bounds))
-        && !need.tried.contains(&target.spec.id)
-}
-
 /// Whether what is sent there now will start on a version that may still
 /// start then. While a bound is pending, an older target gets nothing by a
 /// slow way: what is on that way can no longer be taken back.
--- a/crates/raildale-core/src/gateway/waiting.rs
+++ b/crates/raildale-core/src/gateway/waiting.rs
@@ -49,6 +49,8 @@
     /// Milliseconds until a target takes any again; 0 if one does. Targets
     /// that name a limit take none while they have got more than that.
     pub blocked_ms: u64,
+    /// Whether every target that is known leaves: another has to start first.
+    pub all_leave: bool,
 }
 
 /// What becomes of a request that finds no target.
@@ -343,7 +345,10 @@
     queue_ms: u64,
     situation: Situation,
 ) -> Verdict {
-    let patience_ms = (request.route.goal_ms as f64 * WAIT_SHARE) as u64;
+    let patience_ms = match situation.all_leave {
+        true => 0,
+        false => (request.route.goal_ms as f64 * WAIT_SHARE) as u64,
+    };
     let is_waiting = request.place != Place::Nowhere;
     let taken_ms = situation.ready_ms.map(|ms| {
         let queue_ms = if is_waiting { 0 } else { queue_ms };
--- a/crates/raildale-core/tests/target_leaving.rs
+++ b/crates/raildale-core/tests/target_leaving.rs
@@ -2,11 +2,14 @@
 //! list it as leaving, answered nobody from 6 to 20 s. The entry host that had
 //! passed such an answer on at 7.792 s sent it requests at 10.183 and 10.688
 //! s, and 3 to 5 a second all the while; the store heard of it at 19.216 s.
+//! That a target leaves was read from the store's list alone: `waited_ms=0` and
+//! first tries say that nothing had chosen it before.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use raildale_core::{
     Name,
+    fleet_message::ToldNotice,
     gateway::{
         Admission, Gateway, GatewayConfig, Outcome, RequestHead, Route,
         RouteKind, Routing, Service, TargetNotice, TargetReport, TargetSpec,
@@ -108,11 +111,14 @@
     gateway.admit(now_ms, &head, 0).expect("it is let in")
 }
 
-/// Where a request that comes now goes, waiting included; `None` if it is
-/// refused.
+/// Where a request that comes now goes, waiting included, and is answered at
+/// once; `None` if it is refused.
 fn goes_to(gateway: &mut Gateway, now_ms: u64, path: &str) -> Option<Name> {
     let mut request = admit(gateway, now_ms, path);
-    settle(gateway, now_ms, &mut request)
+    let to = settle(gateway, now_ms, &mut request)?;
+    gateway.note_begun(now_ms, &mut request, &to, 50);
+    gateway.ended(now_ms, &mut request, &to, Outcome::Whole);
+    Some(to)
 }
 
 fn settle(
@@ -270,3 +276,24 @@
     let to = goes_to(&mut gateway, START_MS + 1_000, "/");
     assert_eq!(to.as_deref(), Some("t1"));
 }
+
+/// Another entry host's word keeps requests away while another target fits,
+/// and closes nothing: wrong, it would empty a service.
+#[test]
+fn the_word_of_another_entry_host_empties_no_service() {
+    let mut gateway = gateway(2);
+    let from = IpAddr::from([10, 1, 0, 1]);
+    for number in [0, 1] {
+        let told = ToldNotice {
+            start: start(number).0,
+            is_leaving: true,
+            ..ToldNotice::default()
+        };
+        gateway.targets.notices.take_told(START_MS, from, &told);
+        let to = goes_to(&mut gateway, START_MS, "/");
+        match number {
+            0 => assert_eq!(to.as_deref(), Some("t1")),
+            _ => assert!(to.is_some(), "both are said to leave"),
+        }
+    }
+}
--- a/crates/raildale/src/fleet/entry/host/notices.rs
+++ b/crates/raildale/src/fleet/entry/host/notices.rs
@@ -17,7 +17,7 @@
 impl<P: Dialect + Store + 'static> EntryHost<P> {
     /// Takes in, and writes if it is news, what the answer to an attempt that
     /// was sent at `sent_ms` says of its target. The other entry hosts hear
-    /// now, and not with the next heartbeat, that one takes less.
+    /// now, and not with the next heartbeat, that one takes less or leaves.
     pub fn note_notice(
         &self,
         request: &Admission,
@@ -32,7 +32,7 @@
         let target = request.tried.last().map_or("", |target| target);
         for one in news {
             self.log_notice(target, notice, one);
-            if one == NoticeNews::Lower {
+            if matches!(one, NoticeNews::Lower | NoticeNews::Leaving) {
                 self.news_due.notify_one();
             }
         }
@@ -63,17 +63,18 @@
     /// Takes in what the entry host at `from` tells.
     pub fn take_told_notices(&self, from: IpAddr, told: Vec<ToldNotice>) {
         let now = now_ms();
-        let mut gateway = self.gateway.borrow_mut();
-        let mut news = told;
-        let notices = &mut gateway.targets.notices;
-        news.retain(|one| notices.take_told(now, from, one).is_some());
-        drop(gateway);
-        for one in news {
-            let detail = format!(
-                "start={:016x} limit_per_s={:?} from=entry host",
-                one.start, one.limit_per_s
-            );
-            self.log(LogEvent::TargetLimited, &detail);
+        for one in told {
+            let mut gateway = self.gateway.borrow_mut();
+            let news = gateway.targets.notices.take_told(now, from, &one);
+            drop(gateway);
+            let notice = TargetNotice {
+                limit_per_s: one.limit_per_s,
+                ..TargetNotice::default()
+            };
+            let start = format!("{:016x} from=entry host", one.start);
+            for one in news {
+                self.log_notice(&start, notice, one);
+            }
         }
     }
 }
