A target that names a time to come back gets nothing until then

What callers saw: requests sent to a target that had just turned one away were turned away as well, and cost an attempt each.

A request that fits nowhere else waits if its caller will still be there, and is refused at once with the time if not.

--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -54,6 +54,15 @@
     pub quarantine: Quarantine,
 }
 
+/// What is known of the targets that could take a request.
+#[derive(Clone, Copy, Debug)]
+struct Fit {
+    /// Whether there are any.
+    is_full: bool,
+    /// Milliseconds until one takes requests again.
+    blocked_ms: u64,
+}
+
 /// Milliseconds between two looks for a target that has room.
 const LOOK_AGAIN_MS: u64 = 20;
 
@@ -240,8 +249,11 @@
             false => None,
         };
         let Some(target) = picked else {
-            let is_full = self.targets.any_fits(now_ms, need);
-            return self.wait_or_refuse(now_ms, request, since_ms, is_full);
+            let fit = Fit {
+                is_full: self.targets.any_fits(now_ms, need),
+                blocked_ms: self.targets.blocked_ms(now_ms, need),
+            };
+            return self.wait_or_refuse(now_ms, request, since_ms, fit);
         };
         let start = target.start;
         let dispatch = Dispatch {
@@ -349,16 +361,16 @@
         now_ms: u64,
         request: &mut Admission,
         since_ms: u64,
-        is_full: bool,
+        fit: Fit,
     ) -> Next {
         let service = &request.service;
         let rate_per_s =
             self.targets.rate_per_s(now_ms, service) / self.entry_hosts as f64;
         let situation = Situation {
-            is_full,
+            is_full: fit.is_full,
             ready_ms: self.targets.ready_in_ms(now_ms, &service.name),
             rate_per_s,
-            blocked_ms: self.targets.blocked_ms(now_ms, &service.name),
+            blocked_ms: fit.blocked_ms,
             all_leave: self.targets.all_leave(&service.name),
         };
         let waited_ms = now_ms.saturating_sub(since_ms);
--- a/crates/raildale-core/src/gateway/notices.rs
+++ b/crates/raildale-core/src/gateway/notices.rs
@@ -267,14 +267,18 @@
     /// of its limit is `part`.
     ///
     /// What all have sent lately counts as well as the tokens: a start that
-    /// names a limit has just got more than that.
-    pub fn has_token(
+    /// names a limit has just got more than that. One that turned a request
+    /// away may have room by its reports and wants nothing yet.
+    pub fn admits(
         &self,
         now_ms: u64,
         start: StartId,
         part: impl FnOnce() -> OwnPart,
     ) -> bool {
         let Some(known) = self.by_start.get(&start) else { return true };
+        if now_ms < known.waits_until_ms {
+            return false;
+        }
         let Some(quota) = known.quota(start, part) else { return true };
         let most = quota.most_in(WINDOW_MS as f64 / 1e3);
         let own = self.sent_lately(now_ms, start);
@@ -287,10 +291,21 @@
             && quota.token(self.time_of_day_s(now_ms), known.used_s).is_some()
     }
 
-    /// Milliseconds until what all have sent to a start is within its limit
-    /// again, if it has come evenly; 0 if it is now.
+    /// Milliseconds until a start takes requests of this entry host again: the
+    /// time that it named is over, and what all have sent to it is within its
+    /// limit, if it has come evenly. 0 if it takes them now.
     pub fn blocked_ms(&self, now_ms: u64, start: StartId) -> u64 {
         let Some(known) = self.by_start.get(&start) else { return 0 };
+        let waits_ms = known.waits_until_ms.saturating_sub(now_ms);
+        waits_ms.max(self.over_limit_ms(now_ms, start, known))
+    }
+
+    fn over_limit_ms(
+        &self,
+        now_ms: u64,
+        start: StartId,
+        known: &Known,
+    ) -> u64 {
         let Some(quota) = known.quota(start, || OwnPart::ALL) else {
             return 0;
         };
--- a/crates/raildale-core/src/gateway/targets.rs
+++ b/crates/raildale-core/src/gateway/targets.rs
@@ -292,11 +292,11 @@
         self.notices.note_sent(now_ms, target.start, part);
     }
 
-    /// Whether a target takes one more request of this entry host within the
-    /// limit that it names.
-    fn has_token(&self, now_ms: u64, target: &Target) -> bool {
+    /// Whether a target takes one more request of this entry host, by what it
+    /// says of itself.
+    fn is_admitted(&self, now_ms: u64, target: &Target) -> bool {
         let part = own_part(&self.parts, self.heard_share(), target);
-        self.notices.has_token(now_ms, target.start, part)
+        self.notices.admits(now_ms, target.start, part)
     }
 
     /// The share of the entry hosts that are heard: what the others may send
@@ -384,11 +384,13 @@
         if open > 0.0 { open } else { targets().map(rate).sum() }
     }
 
-    /// Milliseconds until the limits of a service's open targets let any
-    /// request through again; 0 if one does now, or none is open.
-    pub fn blocked_ms(&self, now_ms: u64, service: &str) -> u64 {
-        let open = self.of(service).filter(|t| self.is_open(t, now_ms));
-        open.map(|target| self.notices.blocked_ms(now_ms, target.start))
+    /// Milliseconds until a target that could take a request, if it had room,
+    /// takes any by what it says of itself; 0 if one does now, or none could.
+    pub fn blocked_ms(&self, now_ms: u64, need: Need<'_>) -> u64 {
+        let fitting =
+            self.of(need.service).filter(|t| self.fits(t, now_ms, need));
+        fitting
+            .map(|target| self.notices.blocked_ms(now_ms, target.start))
             .min()
             .unwrap_or(0)
     }
@@ -508,8 +510,9 @@
         if reads_prompts && !target.may_read_another() {
             return false;
         }
-        // A limit is of all entry hosts together, whatever slots are free.
-        if !self.has_token(now_ms, target) {
+        // A limit is of all entry hosts together, and a time to come back is
+        // named, whatever slots are free.
+        if !self.is_admitted(now_ms, target) {
             return false;
         }
         let slots = f64::from(target.spec.slots);
