--- a/crates/raildale-core/src/gateway/targets.rs
+++ b/crates/raildale-core/src/gateway/targets.rs
@@ -1,7 +1,7 @@
 //! Every target that is known, and which one a request goes to.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
 };
 
@@ -308,9 +308,10 @@
 
     /// Forgets what starts said that are listed no longer.
     pub fn sweep_notices(&mut self, now_ms: u64) {
-        let listed: HashSet<StartId> =
-            self.by_id.values().map(|target| target.start).collect();
-        self.notices.sweep(now_ms, |start| listed.contains(&start));
+        let by_id = &self.by_id;
+        let is_listed =
+            |start| by_id.values().any(|target| target.start == start);
+        self.notices.sweep(now_ms, is_listed);
     }
 
     /// Counts a request out to a target.
