--- a/crates/raildale-core/tests/target_leaving.rs
+++ b/crates/raildale-core/tests/target_leaving.rs
@@ -5,8 +5,11 @@
 //! That a target leaves was read from the store's list alone: `waited_ms=0` and
 //! first tries say that nothing had chosen it before.
 
+mod notices_world;
+
 use std::net::{IpAddr, SocketAddr};
 
+use notices_world::{Trouble, World};
 use raildale_core::{
     Name,
     fleet_message::ToldNotice,
@@ -17,6 +20,7 @@
         routes::EngineSpec,
     },
 };
+use yare::parameterized;
 
 const START_MS: u64 = 1_000_000;
 
@@ -322,3 +326,35 @@
         }
     }
 }
+
+/// Half of the targets leave and the others name times beside refusals, while
+/// entry hosts are killed, stand still, are cut off or lose the time of day.
+/// None that was told sends there all the same.
+#[parameterized(
+    calm_3 = { 3, Trouble::None },
+    calm_7 = { 7, Trouble::None },
+    calm_41 = { 41, Trouble::None },
+    calm_149 = { 149, Trouble::None },
+    restart_of_7 = { 7, Trouble::Restart },
+    restart_of_149 = { 149, Trouble::Restart },
+    freeze_of_41 = { 41, Trouble::Freeze },
+    cut_of_41 = { 41, Trouble::Cut },
+    clock_step_of_7 = { 7, Trouble::ClockStep },
+)]
+fn what_a_target_told_an_entry_host_binds_it(hosts: usize, trouble: Trouble) {
+    let mut world = World::naming(hosts, vec![None; 12]).with(trouble);
+    for target in 0..12 {
+        world.leaving[target] = target % 2 == 0;
+        world.waits_ms[target] = 300 + 200 * target as u64;
+    }
+    world.play();
+    assert_eq!(world.broken, 0, "requests sent all the same");
+    let later_ms = world.named_ms + 2_000;
+    let late = (0..12).step_by(2).map(|target| {
+        world.arrivals[target].iter().filter(|ms| **ms > later_ms).count()
+    });
+    let late: usize = late.sum();
+    // One that starts anew has not been told.
+    let is_told = trouble != Trouble::Restart;
+    assert!(!is_told || late == 0, "{late} two seconds later");
+}
