Slots that a limit does not let fill are dealt out elsewhere

What callers saw: had half of a data centre's targets named low limits, its entry hosts would still have counted on all of their slots there and on none elsewhere (read; the test had 0 own slots elsewhere). The limit's slots, those that it can keep filled for a usual request, now count when the slots of the data centres are dealt out, and for the rate by which waiting is judged.

--- a/crates/raildale-core/src/gateway/targets.rs
+++ b/crates/raildale-core/src/gateway/targets.rs
@@ -129,35 +129,44 @@
 
     /// Works out anew which slots of a service's targets are this entry
     /// host's own, if that was some time ago: targets come and go.
-    pub fn share_out(&mut self, now_ms: u64, service: &Name) {
-        let last_ms = self.shared_ms.get(service);
+    pub fn share_out(&mut self, now_ms: u64, service: &Service) {
+        let last_ms = self.shared_ms.get(&service.name);
         if last_ms.is_some_and(|ms| now_ms < ms + SHARES_FRESH_MS) {
             return;
         }
-        self.shared_ms.insert(service.clone(), now_ms);
+        self.shared_ms.insert(service.name.clone(), now_ms);
         let parts = self.shares.parts(&self.supplies(now_ms, service));
         let of_service = self
             .by_id
             .values_mut()
-            .filter(|target| target.spec.service == *service);
+            .filter(|target| target.spec.service == service.name);
         for (place, target) in of_service.enumerate() {
             let spec = &target.spec;
             target.own_slots = parts.of(&spec.data_centre, spec.slots, place);
         }
-        self.parts.insert(service.clone(), parts);
+        self.parts.insert(service.name.clone(), parts);
     }
 
     /// Slots of a service's open targets, by data centre.
-    fn supplies(&self, now_ms: u64, service: &str) -> Vec<(Name, f64)> {
+    fn supplies(&self, now_ms: u64, service: &Service) -> Vec<(Name, f64)> {
         let mut supplies: BTreeMap<Name, f64> = BTreeMap::new();
-        for target in self.of(service).filter(|t| self.is_open(t, now_ms)) {
+        for target in
+            self.of(&service.name).filter(|t| self.is_open(t, now_ms))
+        {
             let centre = target.spec.data_centre.clone();
-            let slots = f64::from(target.spec.slots);
+            let slots = self.slots_within_limit(target, service);
             *supplies.entry(centre).or_default() += slots;
         }
         supplies.into_iter().collect()
     }
 
+    /// Slots of a target that its limit lets be filled.
+    fn slots_within_limit(&self, target: &Target, service: &Service) -> f64 {
+        let slots = f64::from(target.spec.slots);
+        let limit = self.notices.limit_per_s(target.start);
+        limit.map_or(slots, |per_s| slots.min(per_s * run_ms(service) / 1e3))
+    }
+
     /// Takes over what the list tells; load and health stay unless the target
     /// has started anew under its name.
     pub fn put(&mut self, spec: TargetSpec) {
@@ -365,20 +374,13 @@
     /// Requests that the targets of a service finish in a second: those that
     /// serve now, or all if none does.
     pub fn rate_per_s(&self, now_ms: u64, service: &Service) -> f64 {
-        let run_ms = service
-            .engine
-            .as_ref()
-            .map_or(PLAIN_RUN_MS, EngineSpec::usual_run_ms);
         let serves = |target: &&Target| {
             let has_weights = service.engine.is_none()
                 || target.serves_version(now_ms).is_some();
             self.is_open(target, now_ms) && has_weights
         };
         let rate = |target: &Target| {
-            let by_slots =
-                f64::from(target.spec.slots) * 1e3 / run_ms.max(1.0);
-            let limit = self.notices.limit_per_s(target.start);
-            limit.map_or(by_slots, |limit| limit.min(by_slots))
+            self.slots_within_limit(target, service) * 1e3 / run_ms(service)
         };
         let targets = || self.of(&service.name);
         let open: f64 = targets().filter(serves).map(rate).sum();
@@ -537,6 +539,13 @@
     }
 }
 
+/// What a request of a service usually takes at a full target, in
+/// milliseconds.
+fn run_ms(service: &Service) -> f64 {
+    let engine = service.engine.as_ref();
+    engine.map_or(PLAIN_RUN_MS, EngineSpec::usual_run_ms).max(1.0)
+}
+
 /// The part of a target's limit that is this entry host's own.
 fn own_part<'a>(
     parts: &'a HashMap<Name, Parts>,
--- a/crates/raildale-core/tests/free_slots.rs
+++ b/crates/raildale-core/tests/free_slots.rs
@@ -81,7 +81,9 @@
             revision: 1,
         });
     }
-    gateway.targets.share_out(START_MS, &"model".into());
+    let service = gateway.routing().and_then(|r| r.service("model")).cloned();
+    let service = service.expect("it is configured");
+    gateway.targets.share_out(START_MS, &service);
     let own_slots: Vec<(Name, u32)> = gateway
         .targets
         .iter()
--- a/crates/raildale-core/tests/target_limit.rs
+++ b/crates/raildale-core/tests/target_limit.rs
@@ -275,3 +275,24 @@
     let least_ms = blocked_ms.min(heeded_ms);
     assert!(back_ms >= least_ms, "{back_ms} ms, blocked for {blocked_ms}");
 }
+
+/// Half of a data centre's targets take one request a second of twelve at
+/// once. Its entry hosts count on slots of the other data centres for what
+/// does not fit there any more; they had none there.
+#[test]
+fn what_a_limit_does_not_take_is_dealt_elsewhere() {
+    let is_limited = |target: usize| target.is_multiple_of(6);
+    let limits = (0..12).map(|t| is_limited(t).then_some(1.0)).collect();
+    let mut world = World::new(6, limits);
+    let gateway = &mut world.hosts[0];
+    let service = gateway.routing().and_then(|r| r.service("model")).cloned();
+    let service = service.expect("it is configured");
+    gateway.targets.share_out(START_MS + 1_000, &service);
+    let elsewhere: u32 = gateway
+        .targets
+        .iter()
+        .filter(|target| *target.spec.data_centre != *"dc-0")
+        .map(|target| target.own_slots)
+        .sum();
+    assert!(elsewhere > 0, "all slots are counted on at home");
+}
