--- a/crates/raildale-core/src/gateway/mod.rs
+++ b/crates/raildale-core/src/gateway/mod.rs
@@ -15,7 +15,6 @@
 //! * [`outcomes`]: what follows from how it went at a target.
 //! * [`versions`]: which versions of weights bound what may start.
 //! * [`waiting`]: how long a request waits for a target, and what then.
-//! * [`quota`]: which requests of a target's limit are this entry host's.
 //! * [`quarantine`]: requests that end the targets that run them.
 //! * [`retry_budget`]: how many repeats this process may still send.
 //! * [`ends`]: starts of targets, and that one has ended.
@@ -31,7 +30,6 @@
 pub mod notices;
 pub mod outcomes;
 pub mod quarantine;
-pub mod quota;
 pub mod request;
 pub mod retry_budget;
 pub mod routes;
--- a/crates/raildale-core/src/gateway/quota.rs
+++ b/crates/raildale-core/src/gateway/notices/quota.rs
@@ -7,7 +7,7 @@
 //! together hold no more at once than one entry host would. A time of day
 //! that differs somewhat shifts tokens and makes none.
 
-use super::ends::StartId;
+use crate::gateway::ends::StartId;
 
 /// How long a token may be used, in seconds: what can come at once is the
 /// limit of one second.
--- /dev/null
+++ b/crates/raildale-core/src/gateway/notices/told.rs
@@ -0,0 +1,77 @@
+//! What entry hosts tell one another of what targets say, with each heartbeat.
+
+use std::{cmp::Reverse, net::IpAddr};
+
+use super::{ENDED_TOLD_MS, Known, NoticeNews, Notices};
+use crate::{fleet_message::ToldNotice, gateway::ends::StartId};
+
+/// How long it is told that a start leaves, in milliseconds: most are gone by
+/// then, and whoever it answers hears it anew.
+const LEAVING_TOLD_MS: u64 = 30_000;
+
+/// Starts in one heartbeat at most: 1.4 KB.
+const TOLD_MOST: usize = 64;
+
+impl Notices {
+    /// What others are to know, the latest first. A limit is told from
+    /// whomever it is known, so that it outlasts those who heard it; that a
+    /// start leaves, by those that it has told itself.
+    pub fn told(&self, now_ms: u64) -> Vec<ToldNotice> {
+        let mut due: Vec<(&StartId, &Known)> =
+            self.by_start.iter().filter(|(_, k)| is_due(now_ms, k)).collect();
+        due.sort_unstable_by_key(|(start, known)| {
+            (Reverse(known.limit.said_ms), **start)
+        });
+        let tell = |(start, known): (&StartId, &Known)| ToldNotice {
+            start: start.0,
+            limit_per_s: known.limit.per_s,
+            age_ms: now_ms.saturating_sub(known.limit.said_ms),
+            sent_lately: self.sent_lately(now_ms, *start),
+            is_leaving: known.leaving_ms.is_some(),
+        };
+        due.into_iter().take(TOLD_MOST).map(tell).collect()
+    }
+
+    /// Takes in what the entry host at `from` tells; returns what is new by
+    /// it.
+    ///
+    /// What is known already does not become younger by being told: the way
+    /// here takes time, and two that tell each other would never let it age.
+    pub fn take_told(
+        &mut self,
+        now_ms: u64,
+        from: IpAddr,
+        told: &ToldNotice,
+    ) -> Vec<NoticeNews> {
+        let mut news = Vec::new();
+        let start = StartId(told.start);
+        let is_rate = |rate: &f64| rate.is_finite() && *rate >= 0.0;
+        let limit_per_s = told.limit_per_s.filter(is_rate);
+        let is_known = self.limit_per_s(start) == limit_per_s;
+        if is_known && limit_per_s.is_none() && !told.is_leaving {
+            return news;
+        }
+        let now_s = self.time_of_day_s(now_ms);
+        let known = self.by_start.entry(start).or_default();
+        if told.is_leaving && !known.is_told_leaving {
+            known.is_told_leaving = true;
+            news.push(NoticeNews::Leaving);
+        }
+        known.limit.note_other(now_ms, from, told.sent_lately);
+        if !is_known {
+            let said_ms = now_ms.saturating_sub(told.age_ms);
+            news.extend(known.limit.say(limit_per_s, said_ms, now_ms, now_s));
+        }
+        news
+    }
+}
+
+/// Whether others are to know what a start says.
+fn is_due(now_ms: u64, known: &Known) -> bool {
+    let limit = &known.limit;
+    let has_ended =
+        limit.said_ms > 0 && now_ms < limit.said_ms + ENDED_TOLD_MS;
+    let is_leaving =
+        known.leaving_ms.is_some_and(|ms| now_ms < ms + LEAVING_TOLD_MS);
+    limit.per_s.is_some() || has_ended || is_leaving
+}
--- a/crates/raildale-core/src/gateway/shares.rs
+++ b/crates/raildale-core/src/gateway/shares.rs
@@ -7,7 +7,7 @@
 //! tell: each gets slots in proportion to its demand, those of its own data
 //! centre first.
 
-use super::{quota::OwnPart, target::Rivals};
+use super::{notices::quota::OwnPart, target::Rivals};
 use crate::Name;
 
 /// An entry host that sends to targets.
--- a/crates/raildale-core/tests/target_limit.rs
+++ b/crates/raildale-core/tests/target_limit.rs
@@ -16,8 +16,10 @@
 use raildale_core::{
     fleet_message::ToldNotice,
     gateway::{
-        NoticeNews, TargetNotice, TargetSpec, ends::StartId, notices::Notices,
-        quota::OwnPart, request::Next,
+        NoticeNews, TargetNotice, TargetSpec,
+        ends::StartId,
+        notices::{Notices, quota::OwnPart},
+        request::Next,
     },
 };
 use yare::parameterized;
@@ -43,10 +45,15 @@
     most
 }
 
-/// Requests that a target with a limit may get in one window: half as many
-/// again as the limit says, and five.
-fn allowed(limit_per_s: f64) -> f64 {
-    1.5 * limit_per_s * WINDOW_MS as f64 / 1e3 + 5.0
+/// A target with a limit gets at most half as many requests again as it says
+/// in one window, and five.
+fn assert_kept(world: &World, target: usize, limit_per_s: f64) {
+    let allowed = 1.5 * limit_per_s * WINDOW_MS as f64 / 1e3 + 5.0;
+    let most = most_in_window(world, target);
+    assert!(
+        most as f64 <= allowed,
+        "target {target}: {most} in a window, {allowed} allowed"
+    );
 }
 
 /// Every target names a limit. Together they get what they take, and none
@@ -66,12 +73,7 @@
     let mut world = World::new(hosts, vec![Some(limit_per_s); targets]);
     world.play();
     for target in 0..targets {
-        let most = most_in_window(&world, target);
-        let allowed = allowed(limit_per_s);
-        assert!(
-            most as f64 <= allowed,
-            "target {target}: {most} in a window, {allowed} allowed"
-        );
+        assert_kept(&world, target, limit_per_s);
     }
     let all: usize = world.arrivals.iter().map(Vec::len).sum();
     let taken = limit_per_s * targets as f64 * RUN_MS as f64 / 1e3;
@@ -90,9 +92,7 @@
     limits[1] = Some(1.0);
     let mut world = World::new(hosts, limits);
     world.play();
-    let most = most_in_window(&world, 1);
-    let allowed = allowed(1.0);
-    assert!(most as f64 <= allowed, "{most} in a window, {allowed} allowed");
+    assert_kept(&world, 1, 1.0);
 }
 
 /// Targets name limits in the middle of a run. What they got just before
@@ -110,12 +110,7 @@
     let mut world = World::naming(hosts, limits);
     world.play();
     for target in (1..targets).step_by(5) {
-        let most = most_in_window(&world, target);
-        let allowed = allowed(1.0);
-        assert!(
-            most as f64 <= allowed,
-            "target {target}: {most} in a window, {allowed} allowed"
-        );
+        assert_kept(&world, target, 1.0);
     }
 }
 
@@ -137,12 +132,7 @@
     let mut world = World::new(hosts, limits).with(trouble);
     world.play();
     for target in 0..7 {
-        let most = most_in_window(&world, target);
-        let allowed = allowed(1.0);
-        assert!(
-            most as f64 <= allowed,
-            "target {target}: {most} in a window, {allowed} allowed"
-        );
+        assert_kept(&world, target, 1.0);
     }
 }
 
