Test, failing: a token of a limit is used once

What callers saw: nothing. Read, then shown: at 2.2 a second one entry host found 12,000 tokens in 1,000 s, 2,201 are there; only the counts of what was sent held the limit.

--- a/crates/raildale-core/tests/target_limit.rs
+++ b/crates/raildale-core/tests/target_limit.rs
@@ -18,7 +18,10 @@
     gateway::{
         NoticeNews, TargetNotice, TargetSpec,
         ends::StartId,
-        notices::{Notices, quota::OwnPart},
+        notices::{
+            Notices,
+            quota::{OwnPart, Quota},
+        },
         request::Next,
     },
 };
@@ -286,3 +289,29 @@
         .sum();
     assert!(elsewhere > 0, "all slots are counted on at home");
 }
+
+/// A token was found again after it had been used where its time, multiplied
+/// by the limit again, came out below its number: at 2.2 a second that is one
+/// token in eleven, and it was there until the next one.
+#[parameterized(
+    one = { 1.0 },
+    two_and_a_bit = { 2.2 },
+    some = { 2.9 },
+    a_third = { 1.0 / 3.0 },
+    many = { 37.7 },
+)]
+fn a_token_is_used_once(per_s: f64) {
+    let quota = Quota { start: StartId(7), per_s, part: OwnPart::ALL };
+    let from_s = 1_772_827_726.0;
+    let mut used_s = from_s;
+    let mut used = 0;
+    for step in 1..=50_000 {
+        let now_s = from_s + f64::from(step) * 0.02;
+        if let Some(token_s) = quota.token(now_s, used_s) {
+            used_s = token_s;
+            used += 1;
+        }
+    }
+    let most = per_s * 1_000.0 + 1.0;
+    assert!(f64::from(used) <= most, "{used} tokens of {most}");
+}
