A token of a limit is used once

Cause: a used token was remembered by the time at which its span begins, and that time, multiplied by the limit again, came out just below the token's number. It is remembered by the middle of its span, half a token away from any rounding.

--- a/crates/raildale-core/src/gateway/notices/quota.rs
+++ b/crates/raildale-core/src/gateway/notices/quota.rs
@@ -58,13 +58,16 @@
 impl Quota {
     /// The time of the oldest own token that may be used at `now_s` and is
     /// younger than `after_s`, in seconds; `None` if there is none.
+    ///
+    /// It is told as the middle of the token's span: its beginning, rounded,
+    /// may lie before it, and the token would be found again.
     pub fn token(&self, now_s: f64, after_s: f64) -> Option<f64> {
         let from_s = after_s.max(now_s - KEPT_S);
         let last = (now_s * self.per_s) as u64;
         let first = (from_s * self.per_s) as u64 + 1;
         let first = first.max(last.saturating_sub(LOOKED_AT_MOST));
         let number = (first..=last).find(|number| self.is_own(*number))?;
-        Some(number as f64 / self.per_s)
+        Some((number as f64 + 0.5) / self.per_s)
     }
 
     /// Requests of all entry hosts in a span at most: its tokens, and those
