An entry host that knows nobody yet sends nothing under a limit

What callers saw: nothing; after a start of nine in ten, targets with limits would have got up to twice what is allowed. Cause: a part of a limit was worked out from whoever was known, and one that has just started knows itself alone for up to a heartbeat. Class: a share of an unknown whole.

--- a/crates/raildale-core/src/gateway/targets/mod.rs
+++ b/crates/raildale-core/src/gateway/targets/mod.rs
@@ -28,6 +28,8 @@
     shares: Shares,
     /// Entry hosts that may be there and are not heard.
     silent_senders: usize,
+    /// Whether the other entry hosts are not known yet.
+    is_fleet_unknown: bool,
     /// This entry host's parts of each data centre's slots, by service.
     parts: HashMap<Name, Parts>,
     /// What targets say of themselves.
@@ -130,6 +132,11 @@
         self.silent_senders = count;
     }
 
+    /// Notes whether the list of entry hosts is known.
+    pub fn set_fleet_known(&mut self, is_known: bool) {
+        self.is_fleet_unknown = !is_known;
+    }
+
     /// Works out anew which slots of a service's targets are this entry
     /// host's own, if that was some time ago: targets come and go.
     pub fn share_out(&mut self, now_ms: u64, service: &Service) {
--- a/crates/raildale-core/src/gateway/targets/said.rs
+++ b/crates/raildale-core/src/gateway/targets/said.rs
@@ -27,8 +27,12 @@
     }
 
     /// The share of the entry hosts that are heard: what the others may send
-    /// is left to them.
+    /// is left to them. One that knows nobody yet would take all that there
+    /// is, as would each that has just started.
     fn heard_share(&self) -> f64 {
+        if self.is_fleet_unknown {
+            return 0.0;
+        }
         let heard = self.shares.count().max(1) as f64;
         heard / (heard + self.silent_senders as f64)
     }
--- a/crates/raildale-core/tests/notices_world/mod.rs
+++ b/crates/raildale-core/tests/notices_world/mod.rs
@@ -236,6 +236,7 @@
             let own = vec![self.senders[host].clone()];
             self.hosts[host].set_entry_hosts(own, 0);
             self.hosts[host].set_known_entry_hosts(1);
+            self.hosts[host].targets.set_fleet_known(false);
         }
         let all: Vec<usize> = (0..struck.len()).collect();
         self.exchange(now_ms, &all);
@@ -289,6 +290,7 @@
         let gateway = &mut self.hosts[host];
         gateway.set_entry_hosts(senders, own);
         gateway.set_known_entry_hosts(self.senders.len());
+        gateway.targets.set_fleet_known(true);
         let notices = &mut gateway.targets.notices;
         notices.set_time_of_day(self.now_ms, self.now_ms + steps_ms);
     }
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -140,7 +140,7 @@
             data_centre: data_centre.clone(),
         };
         let bounds = &file.bounds;
-        let gateway = Gateway::new(GatewayConfig {
+        let mut gateway = Gateway::new(GatewayConfig {
             data_centre,
             retries: RetryBound {
                 ratio: bounds.retry_ratio,
@@ -148,6 +148,7 @@
             },
             version_ms: bounds.version_ms,
         });
+        gateway.targets.set_fleet_known(false);
         Ok(EntryHost {
             platform,
             listen,
--- a/crates/raildale/src/fleet/entry/peers.rs
+++ b/crates/raildale/src/fleet/entry/peers.rs
@@ -232,6 +232,8 @@
     let mut gateway = host.gateway.borrow_mut();
     gateway.set_entry_hosts(hosts, own);
     gateway.set_known_entry_hosts(known);
+    let is_fleet_known = host.known.is_known(Kind::EntryHosts);
+    gateway.targets.set_fleet_known(is_fleet_known);
     gateway.targets.notices.set_time_of_day(now, unix_ms());
 }
 
