Log what ends an attempt, and how late a process runs

513 and 512 name the cause (target, deadline, version, or which silence), 512 the code under which no other target was asked; 106 and a histogram tell delays of the process above 200 ms; 517 a caller's connection that ended with an error; two counters go with them. No decision changes.

--- a/crates/raildale-core/src/gateway/outcomes.rs
+++ b/crates/raildale-core/src/gateway/outcomes.rs
@@ -23,6 +23,19 @@
 /// Goals that a repeatable request waits for a target without an agent.
 const GOALS_OF_PATIENCE: u64 = 3;
 
+/// Why a target that is silent about a request is given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Silence {
+    /// The list of targets does not name it.
+    Unlisted,
+    /// Its agent is silent as well.
+    Agent,
+    /// Its agent says that it is down.
+    Down,
+    /// Nothing has come for longer than such a request waits.
+    TooLong,
+}
+
 impl Gateway {
     /// Notes that a request has begun at a target, `took_ms` after it was
     /// sent there.
@@ -138,21 +151,36 @@
         silent_ms: u64,
         has_begun: bool,
     ) -> bool {
+        self.silence(now_ms, request, target, silent_ms, has_begun).is_some()
+    }
+
+    /// Why a target that has been silent about a request for `silent_ms` is
+    /// given up; `None` if it is not.
+    pub fn silence(
+        &self,
+        now_ms: u64,
+        request: &Admission,
+        target: &str,
+        silent_ms: u64,
+        has_begun: bool,
+    ) -> Option<Silence> {
         let tries = request.tried.len() as u32;
         let may_move =
             request.route.may_repeat() && tries < request.route.max_attempts;
         if !may_move || silent_ms < SUSPECT_AFTER_MS {
-            return false;
+            return None;
         }
-        let is_suspect = self.targets.get(target).is_none_or(|known| {
-            known.is_silent(now_ms)
-                || known.report(now_ms).is_some_and(|r| !r.is_up)
-        });
-        let has_agent = self
-            .targets
-            .get(target)
-            .is_some_and(|known| known.report(now_ms).is_some());
-        let patience_ms = match (has_begun, has_agent) {
+        let Some(known) = self.targets.get(target) else {
+            return Some(Silence::Unlisted);
+        };
+        if known.is_silent(now_ms) {
+            return Some(Silence::Agent);
+        }
+        let report = known.report(now_ms);
+        if report.is_some_and(|report| !report.is_up) {
+            return Some(Silence::Down);
+        }
+        let patience_ms = match (has_begun, report.is_some()) {
             // A stream that has begun is not given up for nothing: what is
             // on its way may only be delayed.
             (true, _) if silent_ms < STREAM_PATIENCE_MS => u64::MAX,
@@ -161,7 +189,7 @@
             (false, true) => u64::MAX,
             (false, false) => request.route.goal_ms * GOALS_OF_PATIENCE,
         };
-        is_suspect || silent_ms >= patience_ms
+        (silent_ms >= patience_ms).then_some(Silence::TooLong)
     }
 
     /// The final answer for a request that nobody answers any more.
--- a/crates/raildale-core/src/log_event.rs
+++ b/crates/raildale-core/src/log_event.rs
@@ -46,6 +46,7 @@
     Reloaded = 103, Info, "the settings file was said to have changed";
     LinesLeftOut = 104, Warn, "log lines of an event were left out: too many, or nobody reads them";
     StoodStill = 105, Warn, "the process, or its machine, stood still";
+    Delayed = 106, Warn, "the process did not run for a while";
     PeerUp = 200, Info, "connection to a process is up";
     PeerDown = 201, Warn, "connection to a process is down";
     PeerRefused = 202, Alarm, "a process was refused in the greeting";
@@ -99,6 +100,7 @@
     StreamResumed = 514, Info, "a broken stream goes on at another target";
     CallerLeft = 515, Info, "a caller left before its answer was whole";
     TargetWaits = 516, Info, "a target turned a request away and wants nothing from this entry host for a while";
+    CallerCut = 517, Info, "a caller's connection ended with an error";
 }
 
 impl LogEvent {
--- a/crates/raildale/src/fleet/entry/callers.rs
+++ b/crates/raildale/src/fleet/entry/callers.rs
@@ -15,6 +15,7 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
+use raildale_core::LogEvent;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{EntryHost, proxy, proxy::AnswerBody};
@@ -54,13 +55,17 @@
     P: Dialect + Store + 'static,
 {
     loop {
-        let (stream, _) = frames::accept(&listener).await;
-        tokio::task::spawn_local(serve_caller(host.clone(), stream));
+        let (stream, caller) = frames::accept(&listener).await;
+        let serving = serve_caller(host.clone(), stream, caller);
+        tokio::task::spawn_local(serving);
     }
 }
 
-async fn serve_caller<P>(host: Rc<EntryHost<P>>, stream: TcpStream)
-where
+async fn serve_caller<P>(
+    host: Rc<EntryHost<P>>,
+    stream: TcpStream,
+    caller: SocketAddr,
+) where
     P: Dialect + Store + 'static,
 {
     let limits = host
@@ -77,7 +82,8 @@
         .max_buf_size(limits.max_header_bytes.max(8 << 10) + (16 << 10))
         .serve_connection(TokioIo::new(stream), service);
     if let Err(error) = connection.await {
-        log::debug!("caller's connection: {error}");
+        host.metrics.add("callers_cut_total", "", 1);
+        host.log(LogEvent::CallerCut, &format!("caller={caller} {error:?}"));
     }
 }
 
--- a/crates/raildale/src/fleet/entry/mod.rs
+++ b/crates/raildale/src/fleet/entry/mod.rs
@@ -10,12 +10,14 @@
 //! * [`peers`]: heartbeats and reports.
 //! * [`briefings`]: what agents are told.
 //! * [`culprits`]: records of requests that end their targets.
+//! * [`delays`]: how late the process runs.
 //! * [`digests`]: what the data centres of a large fleet tell one another.
 //! * [`snapshots`]: kinds handed from one entry host to another.
 
 pub mod briefings;
 pub mod callers;
 pub mod culprits;
+pub mod delays;
 pub mod digests;
 pub mod host;
 pub mod peers;
@@ -65,6 +67,7 @@
     peers::start(&host).await?;
     snapshots::start(&host).await?;
     store_watch::start(&host);
+    delays::start(&host);
     host.log_start();
     loop {
         tokio::select! {
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -13,6 +13,7 @@
     Code, LogEvent, Name,
     gateway::{
         Admission, Fingerprint, Outcome, Refusal, RequestHead, RouteKind,
+        outcomes::Silence,
         request::{Dispatch, Next},
     },
 };
@@ -52,6 +53,19 @@
 /// How often a request that waits for its answer is looked at.
 const LOOK: Duration = Duration::from_millis(100);
 
+/// What ended an attempt that brought no whole answer, for the log.
+#[derive(Clone, Copy, Debug)]
+pub enum Cause {
+    /// The target, or the connection to it.
+    Target,
+    /// The request's time was over.
+    Deadline,
+    /// The target's version was about to be too old to start on.
+    Version,
+    /// The target was given up.
+    Silence(Silence),
+}
+
 /// A request on its way.
 #[derive(Debug)]
 pub struct Exchange<P: Dialect + Store + 'static> {
@@ -278,7 +292,8 @@
             let Some(mut opened) = sent else { continue };
             if let Some(outcome) = self.judge(&opened) {
                 let status = opened.response.status().as_u16();
-                self.log_attempt(&dispatch.target, outcome, status);
+                let cause = Cause::Target;
+                self.log_attempt(&dispatch.target, outcome, status, cause);
                 if !opened.attempt.end(&mut self.request, outcome) {
                     return Err(self.give_up(Code::Cut));
                 }
@@ -333,6 +348,7 @@
         let may_repeat = self.request.route.may_repeat();
         let pool = self.host.pool.clone();
         let mut failure = SendFailure::NotSent;
+        let mut cause = Cause::Target;
         // A kept connection may have been closed by its target meanwhile:
         // then nothing was sent, and a new connection is no new attempt.
         for _ in 0..2 {
@@ -348,19 +364,20 @@
             let sending = connection.send(request);
             let sent = self.wait_for_head(&dispatch.target, sending).await;
             match sent {
-                Some(Ok(response)) => {
+                Ok(Ok(response)) => {
                     attempt.connection = Some(connection);
                     let is_event_stream = false;
                     let opened = Opened { response, attempt, is_event_stream };
                     return Ok(Some(opened));
                 }
-                Some(Err(SendFailure::NotSent)) => continue,
-                Some(Err(reason)) => {
+                Ok(Err(SendFailure::NotSent)) => continue,
+                Ok(Err(reason)) => {
                     failure = reason;
                     break;
                 }
-                None => {
+                Err(given_up) => {
                     failure = SendFailure::Lost;
+                    cause = given_up;
                     break;
                 }
             }
@@ -371,19 +388,23 @@
             SendFailure::Lost => Outcome::Broken,
         };
         self.host.pool.forget(dispatch.address);
-        self.log_attempt(&dispatch.target, outcome, 0);
+        self.log_attempt(&dispatch.target, outcome, 0, cause);
         match attempt.end(&mut self.request, outcome) {
             true => Ok(None),
             false => Err(self.give_up(Code::Unknown)),
         }
     }
 
-    /// Waits for an answer's head; `None` once the target is given up.
+    /// Waits for an answer's head.
+    ///
+    /// # Errors
+    ///
+    /// Why the target was given up.
     async fn wait_for_head<F>(
         &self,
         target: &Name,
         sending: F,
-    ) -> Option<Result<Response<Incoming>, SendFailure>>
+    ) -> Result<Result<Response<Incoming>, SendFailure>, Cause>
     where
         F: Future<Output = Result<Response<Incoming>, SendFailure>>,
     {
@@ -392,25 +413,26 @@
         loop {
             let left_ms = self.request.due_ms.saturating_sub(now_ms());
             if left_ms == 0 {
-                return None;
+                return Err(Cause::Deadline);
             }
             let look = LOOK.min(Duration::from_millis(left_ms));
             if let Ok(sent) = tokio::time::timeout(look, &mut sending).await {
-                return Some(sent);
+                return Ok(sent);
             }
             let silent_ms = now_ms() - since_ms;
             let gateway = self.host.gateway.borrow();
-            let is_lost = gateway.is_lost(
+            let silence = gateway.silence(
                 now_ms(),
                 &self.request,
                 target,
                 silent_ms,
                 false,
             );
-            let is_too_old =
-                gateway.is_too_old(now_ms(), &self.request, target);
-            if is_lost || is_too_old {
-                return None;
+            if let Some(silence) = silence {
+                return Err(Cause::Silence(silence));
+            }
+            if gateway.is_too_old(now_ms(), &self.request, target) {
+                return Err(Cause::Version);
             }
         }
     }
@@ -474,8 +496,14 @@
         let read = tokio::time::timeout(left, reading).await;
         let body = match read {
             Ok(Ok(body)) => body.to_bytes(),
-            _ => {
-                self.log_attempt(&attempt.target, Outcome::Broken, 0);
+            ended => {
+                let cause = match ended {
+                    Ok(_) => Cause::Target,
+                    Err(_) => Cause::Deadline,
+                };
+                let status = parts.status.as_u16();
+                let outcome = Outcome::Broken;
+                self.log_attempt(&attempt.target, outcome, status, cause);
                 attempt.discard();
                 if attempt.end(&mut self.request, Outcome::Broken) {
                     return None;
@@ -524,10 +552,16 @@
     }
 
     /// Writes that an attempt came to nothing.
-    pub fn log_attempt(&self, target: &str, outcome: Outcome, status: u16) {
+    pub fn log_attempt(
+        &self,
+        target: &str,
+        outcome: Outcome,
+        status: u16,
+        cause: Cause,
+    ) {
         let detail = format!(
             "id={} request={} target={target} outcome={outcome:?} \
-             status={status} has_begun={} at_ms={}",
+             cause={cause:?} status={status} has_begun={} at_ms={}",
             self.head.id,
             self.fingerprint,
             self.request.has_begun,
--- a/crates/raildale/src/fleet/entry/stream_body.rs
+++ b/crates/raildale/src/fleet/entry/stream_body.rs
@@ -17,7 +17,9 @@
     gateway::{EventSplitter, Outcome},
 };
 
-use super::proxy::{AnswerBody, Attempt, BodyFailure, Exchange, Opened};
+use super::proxy::{
+    AnswerBody, Attempt, BodyFailure, Cause, Exchange, Opened,
+};
 use crate::fleet::{
     edge::{Dialect, Store},
     steady_clock::now_ms,
@@ -88,7 +90,7 @@
 enum Piece {
     Data(Bytes),
     End,
-    Broken,
+    Broken(Cause),
 }
 
 impl<P: Dialect + Store + 'static> Relay<P> {
@@ -107,13 +109,13 @@
                     }
                 }
                 Piece::End if self.splitter.is_torn() => {
-                    if let Some(failure) = self.go_on().await {
+                    if let Some(failure) = self.go_on(Cause::Target).await {
                         return Some(Err(failure));
                     }
                 }
                 Piece::End => return self.end(),
-                Piece::Broken => {
-                    if let Some(failure) = self.go_on().await {
+                Piece::Broken(cause) => {
+                    if let Some(failure) = self.go_on(cause).await {
                         return Some(Err(failure));
                     }
                 }
@@ -150,34 +152,42 @@
                     Ok(data) => return Piece::Data(data),
                     Err(_trailers) => continue,
                 },
-                Ok(Some(Err(_))) => return Piece::Broken,
+                Ok(Some(Err(_))) => return Piece::Broken(Cause::Target),
                 Ok(None) => return Piece::End,
-                Err(_) if self.is_lost(since_ms) => return Piece::Broken,
                 Err(_) => {}
             }
+            if let Some(cause) = self.given_up(since_ms) {
+                return Piece::Broken(cause);
+            }
         }
     }
 
-    fn is_lost(&self, since_ms: u64) -> bool {
+    /// Why the target is given up that was last heard at `since_ms`; `None`
+    /// if it is not.
+    fn given_up(&self, since_ms: u64) -> Option<Cause> {
         let now = now_ms();
+        if now >= self.exchange.request.due_ms {
+            return Some(Cause::Deadline);
+        }
         let gateway = self.exchange.host.gateway.borrow();
-        now >= self.exchange.request.due_ms
-            || gateway.is_lost(
-                now,
-                &self.exchange.request,
-                &self.attempt.target,
-                now - since_ms,
-                true,
-            )
+        let silence = gateway.silence(
+            now,
+            &self.exchange.request,
+            &self.attempt.target,
+            now - since_ms,
+            true,
+        );
+        silence.map(Cause::Silence)
     }
 
     /// Takes the stream up at another target; a failure ends it visibly.
-    async fn go_on(&mut self) -> Option<BodyFailure> {
+    async fn go_on(&mut self, cause: Cause) -> Option<BodyFailure> {
         let request = &mut self.exchange.request;
         self.attempt.discard();
         let may_repeat = self.attempt.end(request, Outcome::Broken);
         let target = self.attempt.target.clone();
-        self.exchange.log_attempt(&target, Outcome::Broken, 200);
+        self.exchange.log_attempt(&target, Outcome::Broken, 200, cause);
+        let mut refused = None;
         self.splitter.drop_torn();
         if may_repeat && now_ms() < self.exchange.request.due_ms {
             let has_event = self.pace.first_ms.is_some();
@@ -185,24 +195,29 @@
                 has_event.then_some(self.pace.last_ms);
             let last_id = self.splitter.last_id().map(str::to_string);
             let resumed = self.exchange.open(last_id.as_deref()).await;
-            if let Ok(opened) = resumed
-                && opened.response.status().is_success()
-            {
-                self.body = opened.response.into_body();
-                self.attempt = opened.attempt;
-                self.log_resumed(&target, last_id.as_deref());
-                return None;
+            match resumed {
+                Ok(opened) if opened.response.status().is_success() => {
+                    self.body = opened.response.into_body();
+                    self.attempt = opened.attempt;
+                    self.log_resumed(&target, last_id.as_deref());
+                    return None;
+                }
+                Ok(_) => {}
+                Err(refusal) => refused = Some(refusal.code.number()),
             }
         }
         self.is_over = true;
         let detail = format!(
-            "id={} request={} route={} target={target} code={} after={:?}",
+            "id={} request={} route={} target={target} code={} after={:?} \
+             cause={cause:?} refused={refused:?} at_ms={}",
             self.exchange.head.id,
             self.exchange.fingerprint,
             self.exchange.request.route.name,
             Code::Cut.number(),
             self.splitter.last_id(),
+            now_ms() - self.exchange.request.arrived_ms,
         );
+        self.exchange.host.metrics.add("answers_cut_total", "", 1);
         self.exchange.host.log(LogEvent::RequestFailed, &detail);
         Some(BodyFailure::Broken)
     }
