--- a/crates/raildale/src/fleet/entry/peers.rs
+++ b/crates/raildale/src/fleet/entry/peers.rs
@@ -211,6 +211,9 @@
     for (target, is_up) in agents {
         let event =
             if is_up { LogEvent::AgentUp } else { LogEvent::AgentDown };
+        let name =
+            if is_up { "agents_up_total" } else { "agents_silent_total" };
+        host.metrics.add(name, "", 1);
         host.log(event, &format!("target={target}"));
     }
 }
