A silent target keeps its answer until another has opened one

What callers saw: streams whose connection was closed in the middle, though the target went on writing.

Cause: an entry host gave an attempt up for signs about something else (the list without its target, an agent that is silent, 1 s without an event, a time in which the entry host itself did not run) and closed it before it knew whether another target would take the rest. A process that has just started has no repeats, so the stream could not go on, and the caller's connection was closed.

Why this works: such a sign only starts a second attempt beside the first (hedge.rs). The first one is dropped when another target has opened its answer, not before; if none does (no repeat, no room, a refusal) it goes on to its end or its deadline. Whichever brings a success first is taken, and one that fails leaves the wait to the other. Time in which this process does not run counts for one look of silence at most. A request that has not begun at a version about to be too old is still withdrawn. What may run once is never hedged.

An attempt carries which start it was sent to and whether it has begun, as the request's own fields may speak of another one. attempt.rs is split from proxy.rs.

--- a/crates/raildale-core/src/gateway/outcomes.rs
+++ b/crates/raildale-core/src/gateway/outcomes.rs
@@ -23,7 +23,7 @@
 /// Goals that a repeatable request waits for a target without an agent.
 const GOALS_OF_PATIENCE: u64 = 3;
 
-/// Why a target that is silent about a request is given up.
+/// Why another target is asked for a request that one is silent about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Silence {
     /// The list of targets does not name it.
@@ -141,8 +141,8 @@
         serves.is_some_and(|version| version < least)
     }
 
-    /// Whether a target that has been silent about a request for
-    /// `silent_ms` is given up: what may be repeated then goes elsewhere.
+    /// Whether another target is asked for a request that one has been silent
+    /// about for `silent_ms`.
     pub fn is_lost(
         &self,
         now_ms: u64,
@@ -154,8 +154,8 @@
         self.silence(now_ms, request, target, silent_ms, has_begun).is_some()
     }
 
-    /// Why a target that has been silent about a request for `silent_ms` is
-    /// given up; `None` if it is not.
+    /// Why another target is asked for a request that one has been silent
+    /// about for `silent_ms`; `None` if none is.
     pub fn silence(
         &self,
         now_ms: u64,
--- /dev/null
+++ b/crates/raildale/src/fleet/entry/hedge.rs
@@ -0,0 +1,208 @@
+//! A second attempt beside one whose target is silent.
+//!
+//! Silence may come from the way, from an agent or from this process, and an
+//! answer in progress is not given up for it: the attempt stays until another
+//! target has opened an answer, or the request's time is over.
+
+use std::{pin::Pin, rc::Rc, time::Duration};
+
+use raildale_core::{
+    Name,
+    gateway::{
+        Admission, Refusal, outcomes::Silence, request::RETRY_AFTER_LEAST_MS,
+    },
+};
+
+use super::{
+    EntryHost,
+    attempt::{Cause, Opened},
+    proxy::Exchange,
+};
+use crate::fleet::{
+    edge::{Dialect, Store},
+    steady_clock::now_ms,
+};
+
+/// How often an attempt that brings nothing is looked at.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// What one look adds to the silence at most, in milliseconds: while this
+/// process does not run it reads nothing, whatever has come.
+const LOOK_MOST_MS: u64 = 150;
+
+/// What ended the wait for an attempt.
+#[derive(Debug)]
+pub enum Ended<T, P: Dialect + Store + 'static> {
+    /// It brought something.
+    Own(T),
+    /// Another target has opened an answer meanwhile.
+    Other(Box<Opened<P>>, Silence),
+    /// It must not be waited for any longer.
+    Over(Cause),
+}
+
+/// An attempt that is waited for.
+#[derive(Clone, Copy, Debug)]
+pub struct Watched<'a> {
+    /// Its target.
+    pub target: &'a Name,
+    /// Whether its answer has begun.
+    pub has_begun: bool,
+    /// The event after which another target goes on.
+    pub resume_after: Option<&'a str>,
+}
+
+impl<P: Dialect + Store + 'static> Exchange<P> {
+    /// Waits for what an attempt brings, and for another one as well while
+    /// its target is silent. What `is_good` rejects does not end the wait for
+    /// the other one.
+    pub async fn hedge<F: Future>(
+        &mut self,
+        watched: Watched<'_>,
+        own: F,
+        is_good: impl Fn(&F::Output) -> bool,
+    ) -> Ended<F::Output, P> {
+        let mut own = std::pin::pin!(own);
+        let mut silent_ms = 0;
+        let mut quiet_until_ms = 0;
+        loop {
+            let looked_ms = now_ms();
+            let left_ms = self.request.due_ms.saturating_sub(looked_ms);
+            let look = LOOK.min(Duration::from_millis(left_ms));
+            if let Ok(brought) = tokio::time::timeout(look, &mut own).await {
+                return Ended::Own(brought);
+            }
+            silent_ms += (now_ms() - looked_ms).min(LOOK_MOST_MS);
+            if let Some(cause) = self.over(watched) {
+                return Ended::Over(cause);
+            }
+            if now_ms() < quiet_until_ms {
+                continue;
+            }
+            let Some(silence) = self.silence(watched, silent_ms) else {
+                continue;
+            };
+            match self.race(watched, own.as_mut(), &is_good).await {
+                Raced::Own(brought) => return Ended::Own(brought),
+                Raced::Other(opened) => return Ended::Other(opened, silence),
+                Raced::Refused(refusal) => {
+                    let back_ms = refusal.retry_after_ms;
+                    quiet_until_ms =
+                        now_ms() + back_ms.unwrap_or(RETRY_AFTER_LEAST_MS);
+                }
+                Raced::Over => {}
+            }
+        }
+    }
+
+    /// Asks another target, beside the attempt.
+    async fn race<F: Future>(
+        &mut self,
+        watched: Watched<'_>,
+        mut own: Pin<&mut F>,
+        is_good: &impl Fn(&F::Output) -> bool,
+    ) -> Raced<F::Output, P> {
+        let tries = self.request.tried.len();
+        let over = too_old(self.host.clone(), self.request.clone(), watched);
+        let mut over = std::pin::pin!(over);
+        // Boxed, since the other attempt may be hedged in turn.
+        let mut opening: Pin<Box<dyn Future<Output = _> + '_>> =
+            Box::pin(self.open(watched.resume_after));
+        let mut failed = None;
+        let raced = loop {
+            tokio::select! {
+                biased;
+                brought = &mut own, if failed.is_none() => {
+                    if is_good(&brought) {
+                        break Raced::Own(brought);
+                    }
+                    failed = Some(brought);
+                }
+                opened = &mut opening => break match (opened, failed) {
+                    (Ok(opened), _)
+                        if opened.response.status().is_success() =>
+                    {
+                        Raced::Other(Box::new(opened))
+                    }
+                    (_, Some(failed)) => Raced::Own(failed),
+                    (Ok(_), None) => Raced::Over,
+                    (Err(refusal), None) => Raced::Refused(refusal),
+                },
+                () = &mut over => break match failed {
+                    Some(failed) => Raced::Own(failed),
+                    None => Raced::Over,
+                },
+            }
+        };
+        drop(opening);
+        if self.request.tried.len() > tries {
+            self.request.may_have_run = true;
+        }
+        let mut gateway = self.host.gateway.borrow_mut();
+        gateway.stop_waiting(&mut self.request);
+        drop(gateway);
+        raced
+    }
+
+    /// Why an attempt must not be waited for any longer; `None` if it may.
+    fn over(&self, watched: Watched<'_>) -> Option<Cause> {
+        if now_ms() >= self.request.due_ms {
+            return Some(Cause::Deadline);
+        }
+        let is_too_old = is_too_old(&self.host, &self.request, watched);
+        is_too_old.then_some(Cause::Version)
+    }
+
+    fn silence(
+        &self,
+        watched: Watched<'_>,
+        silent_ms: u64,
+    ) -> Option<Silence> {
+        self.host.gateway.borrow().silence(
+            now_ms(),
+            &self.request,
+            watched.target,
+            silent_ms,
+            watched.has_begun,
+        )
+    }
+}
+
+/// Which of two attempts came first.
+enum Raced<T, P: Dialect + Store + 'static> {
+    /// The one that was silent.
+    Own(T),
+    /// The other one.
+    Other(Box<Opened<P>>),
+    /// The other one was given up.
+    Refused(Refusal),
+    /// Neither.
+    Over,
+}
+
+/// Waits until an attempt has to be withdrawn for its version.
+async fn too_old<P>(
+    host: Rc<EntryHost<P>>,
+    request: Admission,
+    watched: Watched<'_>,
+) where
+    P: Dialect + Store + 'static,
+{
+    while !is_too_old(&host, &request, watched) {
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Whether an attempt that has not begun must be withdrawn: its target's
+/// version is about to be too old to start on.
+fn is_too_old<P>(
+    host: &EntryHost<P>,
+    request: &Admission,
+    watched: Watched<'_>,
+) -> bool
+where
+    P: Dialect + Store + 'static,
+{
+    let gateway = host.gateway.borrow();
+    !watched.has_begun && gateway.is_too_old(now_ms(), request, watched.target)
+}
--- a/crates/raildale/src/fleet/entry/mod.rs
+++ b/crates/raildale/src/fleet/entry/mod.rs
@@ -2,6 +2,8 @@
 //! [`raildale_core::members::Members`] and what is known of the store.
 //!
 //! * [`callers`]: the ports that callers use.
+//! * [`attempt`]: a request at one target.
+//! * [`hedge`]: a second attempt beside one whose target is silent.
 //! * [`proxy`]: one request from its head to its answer.
 //! * [`stream_body`]: an answer that is a stream of events.
 //! * [`store_watch`]: the store's kinds, watched.
@@ -14,11 +16,13 @@
 //! * [`digests`]: what the data centres of a large fleet tell one another.
 //! * [`snapshots`]: kinds handed from one entry host to another.
 
+pub mod attempt;
 pub mod briefings;
 pub mod callers;
 pub mod culprits;
 pub mod delays;
 pub mod digests;
+pub mod hedge;
 pub mod host;
 pub mod peers;
 pub mod proxy;
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -10,17 +10,18 @@
     http::request::Parts,
 };
 use raildale_core::{
-    Code, LogEvent, Name,
+    Code, LogEvent,
     gateway::{
         Admission, Fingerprint, Outcome, Refusal, RequestHead, RouteKind,
-        outcomes::Silence,
         request::{Dispatch, Next},
     },
 };
 
 use super::{
     EntryHost,
+    attempt::{Attempt, Cause, Opened},
     callers::{self, Progress},
+    hedge::{Ended, Watched},
     stream_body,
     upstream::{Connection, SendFailure},
 };
@@ -50,22 +51,6 @@
 /// How long a request's body may take.
 const BODY_TIMEOUT: Duration = Duration::from_millis(2_000);
 
-/// How often a request that waits for its answer is looked at.
-const LOOK: Duration = Duration::from_millis(100);
-
-/// What ended an attempt that brought no whole answer, for the log.
-#[derive(Clone, Copy, Debug)]
-pub enum Cause {
-    /// The target, or the connection to it.
-    Target,
-    /// The request's time was over.
-    Deadline,
-    /// The target's version was about to be too old to start on.
-    Version,
-    /// The target was given up.
-    Silence(Silence),
-}
-
 /// A request on its way.
 #[derive(Debug)]
 pub struct Exchange<P: Dialect + Store + 'static> {
@@ -91,89 +76,6 @@
     }
 }
 
-/// An attempt whose answer's head has come.
-#[derive(Debug)]
-pub struct Opened<P: Dialect + Store + 'static> {
-    /// The answer, its body unread.
-    pub response: Response<Incoming>,
-    /// The attempt.
-    pub attempt: Attempt<P>,
-    /// Whether it is a stream of events.
-    pub is_event_stream: bool,
-}
-
-/// A request at a target; counted back when it ends or is dropped.
-#[derive(Debug)]
-pub struct Attempt<P: Dialect + Store + 'static> {
-    host: Rc<EntryHost<P>>,
-    /// The target.
-    pub target: Name,
-    fingerprint: Fingerprint,
-    connection: Option<Connection>,
-    sent_ms: u64,
-    has_begun: bool,
-    is_over: bool,
-}
-
-impl<P: Dialect + Store + 'static> Attempt<P> {
-    /// Notes that an event, or a whole answer, has come.
-    pub fn note_begun(&mut self, request: &mut Admission) {
-        if std::mem::replace(&mut self.has_begun, true) {
-            return;
-        }
-        let now = now_ms();
-        let took_ms = now.saturating_sub(self.sent_ms);
-        let mut gateway = self.host.gateway.borrow_mut();
-        gateway.note_begun(now, request, &self.target, took_ms);
-    }
-
-    /// Ends the attempt; says whether the request may be sent again.
-    pub fn end(&mut self, request: &mut Admission, outcome: Outcome) -> bool {
-        self.is_over = true;
-        let connection = self.connection.take();
-        let is_sound = matches!(
-            outcome,
-            Outcome::Whole | Outcome::Refused | Outcome::Misdirected
-        );
-        if let (true, Some(kept)) = (is_sound, connection) {
-            kept.keep();
-        }
-        let mut gateway = self.host.gateway.borrow_mut();
-        let may_go_on =
-            gateway.ended(now_ms(), request, &self.target, outcome);
-        drop(gateway);
-        if outcome == Outcome::Broken {
-            self.host.note_suspects();
-        }
-        may_go_on
-    }
-
-    /// Ends the attempt, whose answer is whole and a success.
-    pub fn end_well(&mut self, request: &mut Admission) {
-        self.end(request, Outcome::Whole);
-        let mut gateway = self.host.gateway.borrow_mut();
-        gateway.note_answered(now_ms(), request);
-    }
-
-    /// Ends the attempt without keeping its connection.
-    pub fn discard(&mut self) {
-        self.connection = None;
-    }
-}
-
-impl<P: Dialect + Store + 'static> Drop for Attempt<P> {
-    fn drop(&mut self) {
-        if !self.is_over {
-            self.host.gateway.borrow_mut().withdraw(
-                now_ms(),
-                &self.target,
-                self.has_begun,
-                self.fingerprint,
-            );
-        }
-    }
-}
-
 /// Answers a caller's request.
 pub async fn answer<P>(
     host: Rc<EntryHost<P>>,
@@ -336,15 +238,10 @@
         dispatch: &Dispatch,
         resume_after: Option<&str>,
     ) -> Result<Option<Opened<P>>, Refusal> {
-        let mut attempt = Attempt {
-            host: self.host.clone(),
-            target: dispatch.target.clone(),
-            fingerprint: self.fingerprint,
-            connection: None,
-            sent_ms: now_ms(),
-            has_begun: false,
-            is_over: false,
-        };
+        let target = &dispatch.target;
+        let mut attempt =
+            Attempt::new(&self.host, &self.request, self.fingerprint, target);
+        let watched = Watched { target, has_begun: false, resume_after };
         let may_repeat = self.request.route.may_repeat();
         let pool = self.host.pool.clone();
         let mut failure = SendFailure::NotSent;
@@ -361,21 +258,28 @@
                 }
             };
             let request = self.to_target(dispatch, resume_after);
-            let sending = connection.send(request);
-            let sent = self.wait_for_head(&dispatch.target, sending).await;
-            match sent {
-                Ok(Ok(response)) => {
-                    attempt.connection = Some(connection);
+            let sending = async move {
+                let sent = connection.send(request).await;
+                (sent, connection)
+            };
+            match self.hedge(watched, sending, is_success).await {
+                Ended::Own((Ok(response), connection)) => {
+                    let attempt = attempt.with_connection(connection);
                     let is_event_stream = false;
                     let opened = Opened { response, attempt, is_event_stream };
                     return Ok(Some(opened));
                 }
-                Ok(Err(SendFailure::NotSent)) => continue,
-                Ok(Err(reason)) => {
+                Ended::Own((Err(SendFailure::NotSent), _)) => continue,
+                Ended::Own((Err(reason), _)) => {
                     failure = reason;
                     break;
                 }
-                Err(given_up) => {
+                Ended::Other(opened, silence) => {
+                    let cause = Cause::Silence(silence);
+                    self.end_silent(attempt, dispatch, cause);
+                    return Ok(Some(*opened));
+                }
+                Ended::Over(given_up) => {
                     failure = SendFailure::Lost;
                     cause = given_up;
                     break;
@@ -395,46 +299,17 @@
         }
     }
 
-    /// Waits for an answer's head.
-    ///
-    /// # Errors
-    ///
-    /// Why the target was given up.
-    async fn wait_for_head<F>(
-        &self,
-        target: &Name,
-        sending: F,
-    ) -> Result<Result<Response<Incoming>, SendFailure>, Cause>
-    where
-        F: Future<Output = Result<Response<Incoming>, SendFailure>>,
-    {
-        let since_ms = now_ms();
-        let mut sending = std::pin::pin!(sending);
-        loop {
-            let left_ms = self.request.due_ms.saturating_sub(now_ms());
-            if left_ms == 0 {
-                return Err(Cause::Deadline);
-            }
-            let look = LOOK.min(Duration::from_millis(left_ms));
-            if let Ok(sent) = tokio::time::timeout(look, &mut sending).await {
-                return Ok(sent);
-            }
-            let silent_ms = now_ms() - since_ms;
-            let gateway = self.host.gateway.borrow();
-            let silence = gateway.silence(
-                now_ms(),
-                &self.request,
-                target,
-                silent_ms,
-                false,
-            );
-            if let Some(silence) = silence {
-                return Err(Cause::Silence(silence));
-            }
-            if gateway.is_too_old(now_ms(), &self.request, target) {
-                return Err(Cause::Version);
-            }
-        }
+    /// Ends an attempt that brought no head before another one did.
+    fn end_silent(
+        &mut self,
+        mut attempt: Attempt<P>,
+        dispatch: &Dispatch,
+        cause: Cause,
+    ) {
+        let outcome = Outcome::Broken;
+        self.host.pool.forget(dispatch.address);
+        self.log_attempt(&dispatch.target, outcome, 0, cause);
+        attempt.end(&mut self.request, outcome);
     }
 
     fn to_target(
@@ -590,6 +465,14 @@
     }
 }
 
+/// Whether a request that was sent has brought a success.
+fn is_success(sent: &Sent) -> bool {
+    sent.0.as_ref().is_ok_and(|response| response.status().is_success())
+}
+
+/// What sending a request brought, and the connection that it used.
+type Sent = (Result<Response<Incoming>, SendFailure>, Connection);
+
 fn head_of(
     response: &Response<Incoming>,
 ) -> (hyper::http::response::Parts, ()) {
--- a/crates/raildale/src/fleet/entry/stream_body.rs
+++ b/crates/raildale/src/fleet/entry/stream_body.rs
@@ -3,8 +3,6 @@
 //! Events are passed on whole, as they come. A stream that breaks off goes
 //! on at another target after the last event that left here.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
@@ -14,20 +12,19 @@
 };
 use raildale_core::{
     Code, LogEvent,
-    gateway::{EventSplitter, Outcome},
+    gateway::{EventSplitter, Outcome, outcomes::Silence},
 };
 
-use super::proxy::{
-    AnswerBody, Attempt, BodyFailure, Cause, Exchange, Opened,
+use super::{
+    attempt::{Attempt, Cause, Opened},
+    hedge::{Ended, Watched},
+    proxy::{AnswerBody, BodyFailure, Exchange},
 };
 use crate::fleet::{
     edge::{Dialect, Store},
     steady_clock::now_ms,
 };
 
-/// How often a stream that is silent is looked at.
-const LOOK: Duration = Duration::from_millis(100);
-
 /// The answer to a request whose first attempt has opened a stream.
 pub fn answer<P>(
     exchange: Exchange<P>,
@@ -142,42 +139,56 @@
         None
     }
 
-    /// The next bytes of the target's stream.
+    /// The next bytes of the target's stream, or of another's that has taken
+    /// it up.
     async fn piece(&mut self) -> Piece {
-        let since_ms = now_ms();
+        let has_event = self.pace.first_ms.is_some();
+        self.exchange.request.last_event_ms =
+            has_event.then_some(self.pace.last_ms);
         loop {
-            let frame = tokio::time::timeout(LOOK, self.body.frame()).await;
-            match frame {
-                Ok(Some(Ok(frame))) => match frame.into_data() {
+            let watched = Watched {
+                target: &self.attempt.target,
+                has_begun: true,
+                resume_after: self.splitter.last_id(),
+            };
+            let is_torn = self.splitter.is_torn();
+            let is_good = |frame: &Option<Result<_, _>>| match frame {
+                Some(frame) => frame.is_ok(),
+                None => !is_torn,
+            };
+            let frame = self.body.frame();
+            match self.exchange.hedge(watched, frame, is_good).await {
+                Ended::Own(Some(Ok(frame))) => match frame.into_data() {
                     Ok(data) => return Piece::Data(data),
                     Err(_trailers) => continue,
                 },
-                Ok(Some(Err(_))) => return Piece::Broken(Cause::Target),
-                Ok(None) => return Piece::End,
-                Err(_) => {}
-            }
-            if let Some(cause) = self.given_up(since_ms) {
-                return Piece::Broken(cause);
+                Ended::Own(Some(Err(_))) => {
+                    return Piece::Broken(Cause::Target);
+                }
+                Ended::Own(None) => return Piece::End,
+                Ended::Other(opened, silence) => {
+                    self.switch(*opened, silence);
+                }
+                Ended::Over(cause) => return Piece::Broken(cause),
             }
         }
     }
 
-    /// Why the target is given up that was last heard at `since_ms`; `None`
-    /// if it is not.
-    fn given_up(&self, since_ms: u64) -> Option<Cause> {
-        let now = now_ms();
-        if now >= self.exchange.request.due_ms {
-            return Some(Cause::Deadline);
-        }
-        let gateway = self.exchange.host.gateway.borrow();
-        let silence = gateway.silence(
-            now,
-            &self.exchange.request,
-            &self.attempt.target,
-            now - since_ms,
-            true,
-        );
-        silence.map(Cause::Silence)
+    /// Goes on with another target's stream.
+    fn switch(&mut self, opened: Opened<P>, silence: Silence) {
+        let from = self.attempt.target.clone();
+        let cause = Cause::Silence(silence);
+        self.exchange.log_attempt(&from, Outcome::Broken, 200, cause);
+        self.attempt.discard();
+        self.attempt.end(&mut self.exchange.request, Outcome::Broken);
+        self.take_up(&from, opened);
+    }
+
+    fn take_up(&mut self, from: &str, opened: Opened<P>) {
+        self.splitter.drop_torn();
+        self.body = opened.response.into_body();
+        self.attempt = opened.attempt;
+        self.log_resumed(from, self.splitter.last_id());
     }
 
     /// Takes the stream up at another target; a failure ends it visibly.
@@ -188,18 +199,12 @@
         let target = self.attempt.target.clone();
         self.exchange.log_attempt(&target, Outcome::Broken, 200, cause);
         let mut refused = None;
-        self.splitter.drop_torn();
         if may_repeat && now_ms() < self.exchange.request.due_ms {
-            let has_event = self.pace.first_ms.is_some();
-            self.exchange.request.last_event_ms =
-                has_event.then_some(self.pace.last_ms);
             let last_id = self.splitter.last_id().map(str::to_string);
             let resumed = self.exchange.open(last_id.as_deref()).await;
             match resumed {
                 Ok(opened) if opened.response.status().is_success() => {
-                    self.body = opened.response.into_body();
-                    self.attempt = opened.attempt;
-                    self.log_resumed(&target, last_id.as_deref());
+                    self.take_up(&target, opened);
                     return None;
                 }
                 Ok(_) => {}
