Listen to signals before anything else

Callers saw connections refused or reset: a SIGHUP or SIGTERM that came while a process parsed its command line, read its settings or opened its log ended it by the system's default, without leaving in order, and it had to be started again.

Cause: the handlers were set by the roles, after all that.

The runtime and `Signals` are the first thing that main makes; what comes before a role asks for it is kept and heard then. Between the start of the program and that, the system's default still holds.

--- a/crates/raildale/src/fleet/agent/mod.rs
+++ b/crates/raildale/src/fleet/agent/mod.rs
@@ -18,14 +18,12 @@
 pub mod store_facts;
 pub mod worker;
 
-use tokio::{
-    signal::unix::{SignalKind, signal},
-    task::LocalSet,
-};
+use tokio::task::LocalSet;
 
 use super::{
     edge::{Dialect, Store, WeightOrigin, WeightTarget},
     settings::FleetFile,
+    signals::{Signals, Told},
 };
 use crate::error::Error;
 
@@ -35,23 +33,28 @@
 ///
 /// [`crate::ErrorKind::Config`] if its settings lack what an agent needs;
 /// [`crate::ErrorKind::Io`] if it cannot listen.
-pub async fn run<P>(file: FleetFile, platform: P) -> Result<(), Error>
+pub async fn run<P>(
+    file: FleetFile,
+    platform: P,
+    mut signals: Signals,
+) -> Result<(), Error>
 where
     P: Dialect + Store + WeightTarget + WeightOrigin + 'static,
 {
     let local = LocalSet::new();
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut hang_up = signal(SignalKind::hangup())?;
     let running = local.run_until(worker::run(file, platform));
     let mut running = std::pin::pin!(running);
     loop {
-        tokio::select! {
+        let told = tokio::select! {
             result = &mut running => return result,
-            _ = terminate.recv() => {
+            told = signals.next() => told,
+        };
+        match told {
+            Told::Stop => {
                 log::info!("stopped");
                 return Ok(());
             }
-            _ = hang_up.recv() => log::info!("nothing to take over"),
+            Told::SettingsChanged => log::info!("nothing to take over"),
         }
     }
 }
--- a/crates/raildale/src/fleet/entry/mod.rs
+++ b/crates/raildale/src/fleet/entry/mod.rs
@@ -29,14 +29,12 @@
 
 use std::rc::Rc;
 
-use tokio::{
-    signal::unix::{SignalKind, signal},
-    task::LocalSet,
-};
+use tokio::task::LocalSet;
 
 use super::{
     edge::{Dialect, Store},
     settings::FleetFile,
+    signals::{Signals, Told},
 };
 use crate::error::Error;
 
@@ -48,32 +46,35 @@
 ///
 /// [`crate::ErrorKind::Config`] if its settings lack what an entry host
 /// needs; [`crate::ErrorKind::Io`] if it cannot listen.
-pub async fn run<P>(file: FleetFile, platform: P) -> Result<(), Error>
+pub async fn run<P>(
+    file: FleetFile,
+    platform: P,
+    signals: Signals,
+) -> Result<(), Error>
 where
     P: Dialect + Store + 'static,
 {
     let local = LocalSet::new();
-    local.run_until(run_local(file, platform)).await
+    local.run_until(run_local(file, platform, signals)).await
 }
 
-async fn run_local<P>(file: FleetFile, platform: P) -> Result<(), Error>
+async fn run_local<P>(
+    file: FleetFile,
+    platform: P,
+    mut signals: Signals,
+) -> Result<(), Error>
 where
     P: Dialect + Store + 'static,
 {
     let host = Rc::new(EntryHost::new(&file, platform)?);
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut hang_up = signal(SignalKind::hangup())?;
     callers::start(&host).await?;
     peers::start(&host).await?;
     snapshots::start(&host).await?;
     store_watch::start(&host);
     delays::start(&host);
     host.log_start();
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = hang_up.recv() => host.log_reload(),
-        }
+    while signals.next().await == Told::SettingsChanged {
+        host.log_reload();
     }
     host.leave().await;
     Ok(())
