A process ends after the last answer is written

Callers saw an answer that had begun end with a closed connection, 4 to 4.5 s after the SIGTERM of its entry host, if they read it slowly.

Cause: a leaving entry host counts requests, and a plain answer's request is over when its body has been read from the target. What was not written by then went with the process.

Evidence: a caller reads a plain answer of 8 MB at 0.16 MB/s for 5.5 s after a SIGTERM, and quickly then.

Once nothing is in progress, each connection is told to end as soon as what it carries is written (hyper's graceful_shutdown), and the process waits for all of them, as long as its grace lasts. Connections that rest, and those accepted from then on, end at once, as they did.

--- a/crates/raildale/src/fleet/entry/callers.rs
+++ b/crates/raildale/src/fleet/entry/callers.rs
@@ -75,13 +75,26 @@
         .map(|routing| routing.limits)
         .unwrap_or_default();
     let idle = Duration::from_millis(limits.idle_timeout_ms) + IDLE_MARGIN;
+    let mut ending = host.ending.subscribe();
     let service = service_fn(|request| answer_caller(host.clone(), request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(limits.max_header_bytes.max(8 << 10) + (16 << 10))
         .serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = connection.await {
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => Some(ended),
+        _ = ending.wait_for(|is_ending| *is_ending) => None,
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
         host.metrics.add("callers_cut_total", "", 1);
         host.log(LogEvent::CallerCut, &format!("caller={caller} {error:?}"));
     }
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -24,6 +24,7 @@
     gateway::{Fingerprint, Gateway, GatewayConfig, retry_budget::RetryBound},
     members::{MemberEntry, Members},
 };
+use tokio::sync::watch;
 
 use self::known_store::KnownStore;
 pub use self::suspects::unix_ms;
@@ -58,6 +59,9 @@
     pub metrics: Metrics,
     /// Callers' requests in progress.
     pub in_progress: Cell<usize>,
+    /// Set once callers' connections are to end as soon as what they carry
+    /// is written; each of them listens to it.
+    pub ending: watch::Sender<bool>,
     /// Set once it has been told to stop.
     pub leaving_since_ms: Cell<Option<u64>>,
     /// How long callers may keep the addresses, in seconds.
@@ -157,6 +161,7 @@
             pool: Pool::new(),
             metrics: Metrics::new(),
             in_progress: Cell::new(0),
+            ending: watch::Sender::new(false),
             leaving_since_ms: Cell::new(None),
             address_ttl_s: ADDRESS_TTL_S.min(bounds.ttl_max_s),
             briefing_due: tokio::sync::Notify::new(),
@@ -283,16 +288,35 @@
             log::debug!("own entry stays: {failure:?}");
         }
         let end_ms = start_ms + self.grace_ms.saturating_sub(EXIT_MARGIN_MS);
+        self.until_quiet(start_ms, end_ms).await;
+        self.end_connections(end_ms).await;
+        let running = self.in_progress.get();
+        self.log(LogEvent::Stopped, &format!("in_progress={running}"));
+    }
+    /// Waits until nothing is in progress, from `start_ms` to `end_ms` at
+    /// most.
+    async fn until_quiet(&self, start_ms: u64, end_ms: u64) {
+        let least_ms = LEAVE_LEAST_MS.min(self.grace_ms / 2);
         loop {
             tokio::time::sleep(LEAVE_LOOK).await;
             let now = now_ms();
-            let is_quiet = self.in_progress.get() == 0
-                && now > start_ms + LEAVE_LEAST_MS.min(self.grace_ms / 2);
+            let is_quiet =
+                self.in_progress.get() == 0 && now > start_ms + least_ms;
             if is_quiet || now >= end_ms {
-                break;
+                return;
             }
         }
-        let running = self.in_progress.get();
-        self.log(LogEvent::Stopped, &format!("in_progress={running}"));
+    }
+
+    /// Ends callers' connections, each once its last answer is written, and
+    /// waits for them until `end_ms`.
+    async fn end_connections(&self, end_ms: u64) {
+        self.ending.send_replace(true);
+        let left = Duration::from_millis(end_ms.saturating_sub(now_ms()));
+        let ended = self.ending.closed();
+        if tokio::time::timeout(left, ended).await.is_err() {
+            let open = self.ending.receiver_count();
+            log::warn!("{open} callers' connections are still open");
+        }
     }
 }
