A leaving entry host takes requests for 3 s, not 3.5

Callers on kept connections could have a request taken 3 to 3.5 s after the SIGTERM of their entry host. If its target was still at work when the process had to end, the answer was cut, and no rule excuses that: the excuse ends with requests sent 3 s after the signal.

Cause: the last call was 4.5 s before the kill, 3.5 s into a grace of 8 s.

Evidence: a request sent 3.3 s after the SIGTERM was answered with 200 in a process that has a stream in progress; it is refused with 503 within 1 s now, and those sent 0.5 and 2.8 s after are taken.

--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -119,8 +119,8 @@
 const EXIT_MARGIN_MS: u64 = 500;
 
 /// A leaving entry host takes nothing new this long before it is killed, in
-/// milliseconds: most streams end within it.
-const LAST_CALL_MS: u64 = 4_500;
+/// milliseconds: most streams end within it. Callers send elsewhere by then.
+const LAST_CALL_MS: u64 = 5_000;
 
 /// A leaving entry host stays at least this long, in milliseconds: callers
 /// keep the addresses for a while.
