A caller may stop reading for a while

Callers saw a long answer, stream or not, end with a reset if they read nothing for about 1.5 s, though their target was sound.

Cause: TCP_USER_TIMEOUT was 1.5 s on every connection. Linux also counts it while a peer acknowledges each probe and holds its window shut. The same bound let two lost probes, or a link that holds packets up for 1.5 s, end a caller's connection in the time before its first event.

Callers' connections have 15 s. Connections between processes of the fleet and to targets keep 1.5 s: there silence means a machine without power. A caller that is gone for good is still found by the probes, later.

Two tests hold what stays: a caller that ends its side of the connection counts as gone, and a connection that rests too long is closed.

--- a/crates/raildale/src/fleet/entry/callers.rs
+++ b/crates/raildale/src/fleet/entry/callers.rs
@@ -55,7 +55,7 @@
     P: Dialect + Store + 'static,
 {
     loop {
-        let (stream, caller) = frames::accept(&listener).await;
+        let (stream, caller) = frames::accept_caller(&listener).await;
         let serving = serve_caller(host.clone(), stream, caller);
         tokio::task::spawn_local(serving);
     }
--- a/crates/raildale/src/fleet/frames.rs
+++ b/crates/raildale/src/fleet/frames.rs
@@ -20,6 +20,11 @@
 /// power says nothing.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// The same for callers' connections. There the time also runs while a caller
+/// acknowledges everything and takes in nothing, since it reads slowly: more
+/// than the pause of any caller that still wants its answer.
+const CALLER_USER_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// Time without a byte after which a peer is probed, and from probe to probe:
 /// the shortest that the system takes. The second one without an answer ends
 /// the connection, since [`USER_TIMEOUT`] is over by then.
@@ -108,16 +113,30 @@
 pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let connecting = TcpStream::connect(address);
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await??;
-    tune(&stream);
+    tune(&stream, USER_TIMEOUT);
     Ok(stream)
 }
 
-/// The next connection that comes to `listener`, and who opened it.
+/// The next connection of a process of the fleet that comes to `listener`,
+/// and who opened it.
 pub async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+    accept_within(listener, USER_TIMEOUT).await
+}
+
+/// The next connection of a caller that comes to `listener`, and who opened
+/// it.
+pub async fn accept_caller(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+    accept_within(listener, CALLER_USER_TIMEOUT).await
+}
+
+async fn accept_within(
+    listener: &TcpListener,
+    user_timeout: Duration,
+) -> (TcpStream, SocketAddr) {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                tune(&stream);
+                tune(&stream, user_timeout);
                 return (stream, peer);
             }
             Err(error) => {
@@ -132,14 +151,14 @@
 /// and a silent peer ends it, also while nothing is to be sent: a request
 /// whose bytes were acknowledged before its connection fell silent would
 /// wait for its deadline.
-fn tune(stream: &TcpStream) {
+fn tune(stream: &TcpStream, user_timeout: Duration) {
     let socket = socket2::SockRef::from(stream);
     let probes = socket2::TcpKeepalive::new()
         .with_time(PROBE_EVERY)
         .with_interval(PROBE_EVERY);
     let set = stream
         .set_nodelay(true)
-        .and_then(|()| socket.set_tcp_user_timeout(Some(USER_TIMEOUT)))
+        .and_then(|()| socket.set_tcp_user_timeout(Some(user_timeout)))
         .and_then(|()| socket.set_tcp_keepalive(&probes));
     if let Err(error) = set {
         log::debug!("socket options: {error}");
