A connection rests as long as the limits in force allow

Callers saw a connection closed that they took up well within the time that the configuration in force grants; what they had just sent on it was lost and had to be sent again.

Cause: hyper takes the time for a head, rest included, when a connection is accepted. One that was accepted under a shorter IdleTimeoutMs, or before any configuration was known, kept it.

`Rest` knows since when a connection rests, and asks the limits in force before it ends it, in order (graceful_shutdown). hyper's own time remains as a bound of 300 s for heads that come byte by byte. It costs one timer a connection, which wakes once in the time of rest.

--- a/crates/raildale/src/fleet/entry/callers.rs
+++ b/crates/raildale/src/fleet/entry/callers.rs
@@ -18,7 +18,11 @@
 use raildale_core::LogEvent;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::{EntryHost, proxy, proxy::AnswerBody};
+use super::{
+    EntryHost, proxy,
+    proxy::AnswerBody,
+    rest::{self, Rest},
+};
 use crate::{
     error::Error,
     fleet::{
@@ -28,9 +32,10 @@
     },
 };
 
-/// What is added to the time that a connection may rest: callers take up
-/// those that have rested for less.
-const IDLE_MARGIN: Duration = Duration::from_millis(2_000);
+/// How long the head of a request may take, with the rest before it, at
+/// least. It bounds callers that send a head byte by byte; how long a
+/// connection may rest is up to the limits in force, and shorter.
+const HEAD_MOST: Duration = Duration::from_secs(300);
 
 /// Starts all three ports.
 ///
@@ -68,23 +73,21 @@
 ) where
     P: Dialect + Store + 'static,
 {
-    let limits = host
-        .gateway
-        .borrow()
-        .routing()
-        .map(|routing| routing.limits)
-        .unwrap_or_default();
-    let idle = Duration::from_millis(limits.idle_timeout_ms) + IDLE_MARGIN;
+    let limits = host.limits();
+    let rest = Rest::begin();
     let mut ending = host.ending.subscribe();
-    let service = service_fn(|request| answer_caller(host.clone(), request));
+    let service = service_fn(|request| {
+        answer_caller(host.clone(), request, rest.clone())
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(idle)
+        .header_read_timeout(HEAD_MOST.max(rest::idle_most(limits)))
         .max_buf_size(limits.max_header_bytes.max(8 << 10) + (16 << 10))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => Some(ended),
+        () = rest.is_over(|| host.limits()) => None,
         _ = ending.wait_for(|is_ending| *is_ending) => None,
     };
     let ended = match ended {
@@ -103,11 +106,12 @@
 async fn answer_caller<P>(
     host: Rc<EntryHost<P>>,
     request: Request<Incoming>,
+    rest: Rest,
 ) -> Result<Response<AnswerBody>, Infallible>
 where
     P: Dialect + Store + 'static,
 {
-    let progress = Progress::begin(&host);
+    let progress = Progress::begin(&host, rest);
     let mut response = proxy::answer(host.clone(), request, progress).await;
     if host.is_leaving() {
         let close = HeaderValue::from_static("close");
@@ -120,18 +124,21 @@
 #[derive(Debug)]
 pub struct Progress<P> {
     host: Rc<EntryHost<P>>,
+    rest: Rest,
 }
 
 impl<P> Progress<P> {
-    fn begin(host: &Rc<EntryHost<P>>) -> Progress<P> {
+    fn begin(host: &Rc<EntryHost<P>>, rest: Rest) -> Progress<P> {
         add(&host.in_progress, 1);
-        Progress { host: host.clone() }
+        rest.stop();
+        Progress { host: host.clone(), rest }
     }
 }
 
 impl<P> Drop for Progress<P> {
     fn drop(&mut self) {
         add(&self.host.in_progress, -1);
+        self.rest.start();
     }
 }
 
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -21,7 +21,10 @@
 use raildale_core::{
     LogEvent, Name,
     catalog::Kind,
-    gateway::{Fingerprint, Gateway, GatewayConfig, retry_budget::RetryBound},
+    gateway::{
+        Fingerprint, Gateway, GatewayConfig, retry_budget::RetryBound,
+        routes::Limits,
+    },
     members::{MemberEntry, Members},
 };
 use tokio::sync::watch;
@@ -202,6 +205,16 @@
         self.log(LogEvent::Reloaded, "nothing to take over while running");
     }
 
+    /// What callers may send: the limits in force, or those for the time
+    /// before a configuration is known.
+    pub fn limits(&self) -> Limits {
+        self.gateway
+            .borrow()
+            .routing()
+            .map(|routing| routing.limits)
+            .unwrap_or_default()
+    }
+
     /// Whether it may take callers' requests.
     pub fn is_ready(&self) -> bool {
         let knows_targets = self.known.is_known(Kind::Targets);
--- a/crates/raildale/src/fleet/entry/mod.rs
+++ b/crates/raildale/src/fleet/entry/mod.rs
@@ -10,6 +10,7 @@
 //! * [`peers`]: heartbeats and reports.
 //! * [`briefings`]: what agents are told.
 //! * [`culprits`]: records of requests that end their targets.
+//! * [`rest`]: how long callers' connections rest.
 //! * [`delays`]: how late the process runs.
 //! * [`digests`]: what the data centres of a large fleet tell one another.
 //! * [`snapshots`]: kinds handed from one entry host to another.
@@ -22,6 +23,7 @@
 pub mod host;
 pub mod peers;
 pub mod proxy;
+pub mod rest;
 pub mod snapshots;
 pub mod store_watch;
 pub mod stream_body;
