--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -7,8 +7,8 @@
     fading::Fading,
     quarantine::{Quarantine, Standing},
     request::{
-        Admission, Dispatch, Next, Place, RETRY_AFTER_LEAST_MS, Refusal,
-        RequestHead, refusal,
+        Admission, Dispatch, Next, Obstacle, Place, RETRY_AFTER_LEAST_MS,
+        Refusal, RequestHead, refusal,
     },
     retry_budget::{RetryBound, RetryBudget},
     routes::{NoRoute, Routing},
@@ -228,11 +228,13 @@
         draw: u32,
     ) -> Next {
         if now_ms >= request.due_ms {
-            return Next::Refuse(self.give_up(request, Code::DeadlinePassed));
+            let refusal = self.give_up(request, Code::DeadlinePassed);
+            return Next::Refuse(refusal.with_obstacle(Obstacle::Deadline));
         }
         let attempts = request.tried.len() as u32;
         if attempts >= request.route.max_attempts.max(1) {
-            return Next::Refuse(self.give_up(request, Code::TargetBusy));
+            let refusal = self.give_up(request, Code::TargetBusy);
+            return Next::Refuse(refusal.with_obstacle(Obstacle::Attempts));
         }
         if let Some(next) = self.keep(now_ms, request, since_ms) {
             return next;
@@ -270,7 +272,8 @@
         let sharers = self.known_entry_hosts;
         let service = request.service.name.clone();
         if is_repeat && !self.budget(&service).try_repeat(sharers) {
-            return Next::Refuse(self.give_up(request, Code::TargetBusy));
+            let refusal = self.give_up(request, Code::TargetBusy);
+            return Next::Refuse(refusal.with_obstacle(Obstacle::Budget));
         }
         self.room.note_sent(now_ms, request);
         if !is_repeat {
@@ -310,7 +313,7 @@
         };
         let mut refusal = self.give_up(request, Code::Quarantined);
         refusal.retry_after_ms = refusal.retry_after_ms.map(|_| back_ms);
-        Some(Next::Refuse(refusal))
+        Some(Next::Refuse(refusal.with_obstacle(Obstacle::Quarantine)))
     }
 
     /// Starts of targets that have ended since this was last asked.
@@ -383,7 +386,7 @@
                 let mut refusal = self.give_up(request, Code::NoTarget);
                 let is_not_run = refusal.retry_after_ms.is_some();
                 refusal.retry_after_ms = is_not_run.then_some(back_ms);
-                Next::Refuse(refusal)
+                Next::Refuse(refusal.with_obstacle(Obstacle::Targets))
             }
         }
     }
--- a/crates/raildale-core/src/gateway/request.rs
+++ b/crates/raildale-core/src/gateway/request.rs
@@ -122,11 +122,31 @@
     pub urgency: u8,
 }
 
+/// Why a request is not sent to a target, for the log: a code also tells
+/// whether it ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Obstacle {
+    /// Its time is over.
+    Deadline,
+    /// It was sent to as many targets as its route allows.
+    Attempts,
+    /// The retry budget holds no repeat.
+    Budget,
+    /// No target takes it.
+    Targets,
+    /// Requests like it ended their targets.
+    Quarantine,
+    /// The entry host does not take it, or its last attempt came to nothing.
+    Host,
+}
+
 /// A request that is not sent on (any more).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
-    /// Why, and whether it ran.
+    /// What the caller is told, and whether it ran.
     pub code: Code,
+    /// What kept it from a target.
+    pub obstacle: Obstacle,
     /// When to come back, in milliseconds, if it has not run.
     pub retry_after_ms: Option<u64>,
 }
@@ -145,11 +165,19 @@
 /// The shortest time after which a refused request comes back.
 pub const RETRY_AFTER_LEAST_MS: u64 = 400;
 
+impl Refusal {
+    /// The same, for what kept the request from a target.
+    pub fn with_obstacle(self, obstacle: Obstacle) -> Refusal {
+        Refusal { obstacle, ..self }
+    }
+}
+
 /// A refusal under a code; one that proves "not run" says when to come back.
 pub(super) fn refusal(code: Code) -> Refusal {
     let is_worth_it = matches!(code.http_status(), 429 | 503);
     Refusal {
         code,
+        obstacle: Obstacle::Host,
         retry_after_ms: is_worth_it.then_some(RETRY_AFTER_LEAST_MS),
     }
 }
--- a/crates/raildale/src/fleet/entry/hedge.rs
+++ b/crates/raildale/src/fleet/entry/hedge.rs
@@ -141,6 +141,7 @@
         let mut gateway = self.host.gateway.borrow_mut();
         gateway.stop_waiting(&mut self.request);
         drop(gateway);
+        self.host.metrics.add("hedges_total", raced.label(), 1);
         raced
     }
 
@@ -180,6 +181,18 @@
     Over,
 }
 
+impl<T, P: Dialect + Store + 'static> Raced<T, P> {
+    /// The metric's label for it.
+    fn label(&self) -> &'static str {
+        match self {
+            Raced::Own(_) => "ended=\"own\"",
+            Raced::Other(_) => "ended=\"other\"",
+            Raced::Refused(_) => "ended=\"refused\"",
+            Raced::Over => "ended=\"over\"",
+        }
+    }
+}
+
 /// Waits until an attempt has to be withdrawn for its version.
 async fn too_old<P>(
     host: Rc<EntryHost<P>>,
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -13,7 +13,7 @@
     Code, LogEvent,
     gateway::{
         Admission, Fingerprint, Outcome, Refusal, RequestHead, RouteKind,
-        request::{Dispatch, Next},
+        request::{Dispatch, Next, Obstacle},
     },
 };
 
@@ -88,18 +88,17 @@
     let (parts, body) = request.into_parts();
     let Some(head) = host.platform.request_head(&parts) else {
         let code = Code::Malformed;
-        return refuse(&host, "", Refusal { code, retry_after_ms: None });
+        return refuse(&host, "", refusal_of(code, None));
     };
     let body = match read_body(&host, body).await {
         Ok(body) => body,
         Err(code) => {
-            let refusal = Refusal { code, retry_after_ms: None };
+            let refusal = refusal_of(code, None);
             return refuse(&host, &head.id, refusal);
         }
     };
     if host.is_past_last_call() {
-        let retry_after_ms = Some(0);
-        let refusal = Refusal { code: Code::HostLeaving, retry_after_ms };
+        let refusal = refusal_of(Code::HostLeaving, Some(0));
         return refuse(&host, &head.id, refusal);
     }
     let draw = rand::random();
@@ -125,6 +124,11 @@
     exchange.run().await
 }
 
+/// A refusal of the entry host itself.
+fn refusal_of(code: Code, retry_after_ms: Option<u64>) -> Refusal {
+    Refusal { code, obstacle: Obstacle::Host, retry_after_ms }
+}
+
 fn fingerprint(
     method: &Method,
     head: &RequestHead,
@@ -414,11 +418,13 @@
             false => LogEvent::RequestRefused,
         };
         let detail = format!(
-            "id={} request={} route={} code={} tried={} held_ms={}",
+            "id={} request={} route={} code={} obstacle={:?} tried={} \
+             held_ms={}",
             self.head.id,
             self.fingerprint,
             self.request.route.name,
             refusal.code.number(),
+            refusal.obstacle,
             self.request.tried.join(","),
             now_ms() - self.request.arrived_ms,
         );
--- a/crates/raildale/src/fleet/entry/stream_body.rs
+++ b/crates/raildale/src/fleet/entry/stream_body.rs
@@ -198,7 +198,7 @@
         let may_repeat = self.attempt.end(request, Outcome::Broken);
         let target = self.attempt.target.clone();
         self.exchange.log_attempt(&target, Outcome::Broken, 200, cause);
-        let mut refused = None;
+        let mut obstacle = None;
         if may_repeat && now_ms() < self.exchange.request.due_ms {
             let last_id = self.splitter.last_id().map(str::to_string);
             let resumed = self.exchange.open(last_id.as_deref()).await;
@@ -208,13 +208,13 @@
                     return None;
                 }
                 Ok(_) => {}
-                Err(refusal) => refused = Some(refusal.code.number()),
+                Err(refusal) => obstacle = Some(refusal.obstacle),
             }
         }
         self.is_over = true;
         let detail = format!(
             "id={} request={} route={} target={target} code={} after={:?} \
-             cause={cause:?} refused={refused:?} at_ms={}",
+             cause={cause:?} obstacle={obstacle:?} at_ms={}",
             self.exchange.head.id,
             self.exchange.fingerprint,
             self.exchange.request.route.name,
