What one of two attempts brings is booked to that attempt

What callers saw, by tests of a reviewer on the hedge as it was: a sound target was left alone for what the other one had said (503 to callers), one that leaves got 20 of 20 requests, "unknown" for a request that both targets had proved not to have run, and a sound stream was cut since another target had sent a head and nothing more.

Cause: while two attempts are under way, the request's own fields speak of the one that was sent last; an answer that lost was dropped unread; any head of a success ended the first attempt.

Why this works: notices and log lines take the start, target and state of the attempt itself; an answer is judged once, also one that loses; a request counts as possibly run only if an attempt that was sent is dropped unfinished; the second of two streams wins with its first whole event, which is kept and passed on; silence is counted in looks, of which a standstill is one.

--- a/crates/raildale/src/fleet/entry/attempt.rs
+++ b/crates/raildale/src/fleet/entry/attempt.rs
@@ -2,11 +2,14 @@
 
 use std::rc::Rc;
 
+use bytes::BytesMut;
+use http_body_util::BodyExt;
 use hyper::{Response, body::Incoming};
 use raildale_core::{
     Name,
     gateway::{
-        Admission, Fingerprint, Outcome, ends::StartId, outcomes::Silence,
+        Admission, EventSplitter, Fingerprint, Outcome, ends::StartId,
+        outcomes::Silence,
     },
 };
 
@@ -38,6 +41,43 @@
     pub attempt: Attempt<P>,
     /// Whether it is a stream of events.
     pub is_event_stream: bool,
+    /// Whether its head has been judged.
+    pub is_judged: bool,
+    /// What has been read of its body.
+    pub begun: BytesMut,
+}
+
+impl<P: Dialect + Store + 'static> Opened<P> {
+    /// An answer of which only the head is known.
+    pub fn new(
+        response: Response<Incoming>,
+        attempt: Attempt<P>,
+    ) -> Opened<P> {
+        Opened {
+            response,
+            attempt,
+            is_event_stream: false,
+            is_judged: false,
+            begun: BytesMut::new(),
+        }
+    }
+
+    /// Reads a stream to the end of its first event, or of the stream. Says
+    /// whether it has come.
+    pub async fn read_event(&mut self) -> bool {
+        let mut splitter = EventSplitter::new();
+        loop {
+            let data = match self.response.body_mut().frame().await {
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                Some(Err(_)) => return false,
+                None => return !splitter.is_torn(),
+            };
+            self.begun.extend_from_slice(&data);
+            if splitter.push(data).is_some() {
+                return true;
+            }
+        }
+    }
 }
 
 /// A request at a target; counted back when it ends or is dropped.
@@ -48,11 +88,12 @@
     pub target: Name,
     fingerprint: Fingerprint,
     /// The start of it that has the request.
-    start: Option<StartId>,
+    pub start: Option<StartId>,
     connection: Option<Connection>,
     /// When the request was sent there.
     pub sent_ms: u64,
-    has_begun: bool,
+    /// Whether its answer has begun.
+    pub has_begun: bool,
     is_over: bool,
 }
 
--- a/crates/raildale/src/fleet/entry/hedge.rs
+++ b/crates/raildale/src/fleet/entry/hedge.rs
@@ -2,15 +2,13 @@
 //!
 //! Silence may come from the way, from an agent or from this process, and an
 //! answer in progress is not given up for it: the attempt stays until another
-//! target has opened an answer, or the request's time is over.
+//! target has begun to answer, or the request's time is over.
 
 use std::{pin::Pin, rc::Rc, time::Duration};
 
 use raildale_core::{
     Name,
-    gateway::{
-        Admission, Refusal, outcomes::Silence, request::RETRY_AFTER_LEAST_MS,
-    },
+    gateway::{Admission, outcomes::Silence, request::RETRY_AFTER_LEAST_MS},
 };
 
 use super::{
@@ -24,23 +22,34 @@
 };
 
 /// How often an attempt that brings nothing is looked at.
-const LOOK: Duration = Duration::from_millis(100);
+const LOOK: Duration = Duration::from_millis(LOOK_MS);
 
-/// What one look adds to the silence at most, in milliseconds: while this
-/// process does not run it reads nothing, whatever has come.
-const LOOK_MOST_MS: u64 = 150;
+/// The same in milliseconds. Silence is counted in looks: while this process
+/// does not run it reads nothing, whatever has come.
+const LOOK_MS: u64 = 100;
 
 /// What ended the wait for an attempt.
 #[derive(Debug)]
 pub enum Ended<T, P: Dialect + Store + 'static> {
     /// It brought something.
     Own(T),
-    /// Another target has opened an answer meanwhile.
-    Other(Box<Opened<P>>, Silence),
+    /// Another target has begun to answer meanwhile.
+    Other(Box<Other<T, P>>),
     /// It must not be waited for any longer.
     Over(Cause),
 }
 
+/// A second attempt that has begun, and what became of the first.
+#[derive(Debug)]
+pub struct Other<T, P: Dialect + Store + 'static> {
+    /// The second attempt.
+    pub opened: Opened<P>,
+    /// Why it was made.
+    pub silence: Silence,
+    /// What the first one brought, if that was no success.
+    pub failed: Option<T>,
+}
+
 /// An attempt that is waited for.
 #[derive(Clone, Copy, Debug)]
 pub struct Watched<'a> {
@@ -72,7 +81,7 @@
             if let Ok(brought) = tokio::time::timeout(look, &mut own).await {
                 return Ended::Own(brought);
             }
-            silent_ms += (now_ms() - looked_ms).min(LOOK_MOST_MS);
+            silent_ms += LOOK_MS;
             if let Some(cause) = self.over(watched) {
                 return Ended::Over(cause);
             }
@@ -84,13 +93,14 @@
             };
             match self.race(watched, own.as_mut(), &is_good).await {
                 Raced::Own(brought) => return Ended::Own(brought),
-                Raced::Other(opened) => return Ended::Other(opened, silence),
-                Raced::Refused(refusal) => {
-                    let back_ms = refusal.retry_after_ms;
-                    quiet_until_ms =
-                        now_ms() + back_ms.unwrap_or(RETRY_AFTER_LEAST_MS);
+                Raced::Other(opened, failed) => {
+                    let opened = *opened;
+                    let other = Other { opened, silence, failed };
+                    return Ended::Other(Box::new(other));
+                }
+                Raced::Neither => {
+                    quiet_until_ms = now_ms() + RETRY_AFTER_LEAST_MS;
                 }
-                Raced::Over => {}
             }
         }
     }
@@ -106,9 +116,10 @@
         let over = too_old(self.host.clone(), self.request.clone(), watched);
         let mut over = std::pin::pin!(over);
         // Boxed, since the other attempt may be hedged in turn.
-        let mut opening: Pin<Box<dyn Future<Output = _> + '_>> =
-            Box::pin(self.open(watched.resume_after));
+        let mut beginning: Pin<Box<dyn Future<Output = _> + '_>> =
+            Box::pin(self.begin(watched.resume_after));
         let mut failed = None;
+        let mut is_dropped = true;
         let raced = loop {
             tokio::select! {
                 biased;
@@ -118,26 +129,17 @@
                     }
                     failed = Some(brought);
                 }
-                opened = &mut opening => break match (opened, failed) {
-                    (Ok(opened), _)
-                        if opened.response.status().is_success() =>
-                    {
-                        Raced::Other(Box::new(opened))
-                    }
-                    (_, Some(failed)) => Raced::Own(failed),
-                    (Ok(_), None) => Raced::Over,
-                    (Err(refusal), None) => Raced::Refused(refusal),
-                },
-                () = &mut over => break match failed {
-                    Some(failed) => Raced::Own(failed),
-                    None => Raced::Over,
-                },
+                begun = &mut beginning => {
+                    is_dropped = false;
+                    break Raced::of(begun, failed);
+                }
+                () = &mut over => break Raced::of(None, failed),
             }
         };
-        drop(opening);
-        if self.request.tried.len() > tries {
-            self.request.may_have_run = true;
-        }
+        drop(beginning);
+        // What was sent and is not waited for may run.
+        let is_sent = self.request.tried.len() > tries;
+        self.request.may_have_run |= is_dropped && is_sent;
         let mut gateway = self.host.gateway.borrow_mut();
         gateway.stop_waiting(&mut self.request);
         drop(gateway);
@@ -145,6 +147,23 @@
         raced
     }
 
+    /// Sends the request to another target until its answer has begun;
+    /// `None` if there is none, or it is no success.
+    async fn begin(
+        &mut self,
+        resume_after: Option<&str>,
+    ) -> Option<Opened<P>> {
+        let mut opened = self.open(resume_after).await.ok()?;
+        let is_success = opened.response.status().is_success();
+        let has_begun = is_success
+            && (!opened.is_event_stream || opened.read_event().await);
+        if !has_begun {
+            self.request.may_have_run = true;
+            return None;
+        }
+        Some(opened)
+    }
+
     /// Why an attempt must not be waited for any longer; `None` if it may.
     fn over(&self, watched: Watched<'_>) -> Option<Cause> {
         if now_ms() >= self.request.due_ms {
@@ -173,22 +192,28 @@
 enum Raced<T, P: Dialect + Store + 'static> {
     /// The one that was silent.
     Own(T),
-    /// The other one.
-    Other(Box<Opened<P>>),
-    /// The other one was given up.
-    Refused(Refusal),
-    /// Neither.
-    Over,
+    /// The other one; beside it what the silent one brought, if it failed.
+    Other(Box<Opened<P>>, Option<T>),
+    /// None so far.
+    Neither,
 }
 
 impl<T, P: Dialect + Store + 'static> Raced<T, P> {
+    /// Of a second attempt that is over, beside a first that may have failed.
+    fn of(begun: Option<Opened<P>>, failed: Option<T>) -> Raced<T, P> {
+        match (begun, failed) {
+            (Some(opened), failed) => Raced::Other(Box::new(opened), failed),
+            (None, Some(failed)) => Raced::Own(failed),
+            (None, None) => Raced::Neither,
+        }
+    }
+
     /// The metric's label for it.
     fn label(&self) -> &'static str {
         match self {
             Raced::Own(_) => "ended=\"own\"",
-            Raced::Other(_) => "ended=\"other\"",
-            Raced::Refused(_) => "ended=\"refused\"",
-            Raced::Over => "ended=\"over\"",
+            Raced::Other(..) => "ended=\"other\"",
+            Raced::Neither => "ended=\"neither\"",
         }
     }
 }
--- a/crates/raildale/src/fleet/entry/host/notices.rs
+++ b/crates/raildale/src/fleet/entry/host/notices.rs
@@ -5,33 +5,27 @@
 use raildale_core::{
     LogEvent,
     fleet_message::ToldNotice,
-    gateway::{Admission, NoticeNews, TargetNotice},
+    gateway::{NoticeNews, TargetNotice},
 };
 
-use super::EntryHost;
+use super::{super::attempt::Attempt, EntryHost};
 use crate::fleet::{
     edge::{Dialect, Store},
     steady_clock::now_ms,
 };
 
 impl<P: Dialect + Store + 'static> EntryHost<P> {
-    /// Takes in, and writes if it is news, what the answer to an attempt that
-    /// was sent at `sent_ms` says of its target. The other entry hosts hear
-    /// now, and not with the next heartbeat, that one takes less or leaves.
-    pub fn note_notice(
-        &self,
-        request: &Admission,
-        sent_ms: u64,
-        notice: TargetNotice,
-    ) {
-        let Some(start) = request.sent_to else { return };
+    /// Takes in, and writes if it is news, what the answer to an attempt says
+    /// of its target. The other entry hosts hear now, and not with the next
+    /// heartbeat, that one takes less or leaves.
+    pub fn note_notice(&self, attempt: &Attempt<P>, notice: TargetNotice) {
+        let Some(start) = attempt.start else { return };
         let mut gateway = self.gateway.borrow_mut();
         let notices = &mut gateway.targets.notices;
-        let news = notices.note(now_ms(), start, sent_ms, notice);
+        let news = notices.note(now_ms(), start, attempt.sent_ms, notice);
         drop(gateway);
-        let target = request.tried.last().map_or("", |target| target);
         for one in news {
-            self.log_notice(target, notice, one);
+            self.log_notice(&attempt.target, notice, one);
             if matches!(one, NoticeNews::Lower | NoticeNews::Leaving) {
                 self.news_due.notify_one();
             }
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -13,6 +13,7 @@
     Code, LogEvent,
     gateway::{
         Admission, Fingerprint, Outcome, Refusal, RequestHead, RouteKind,
+        outcomes::Silence,
         request::{Dispatch, Next, Obstacle},
     },
 };
@@ -21,7 +22,7 @@
     EntryHost,
     attempt::{Attempt, Cause, Opened},
     callers::{self, Progress},
-    hedge::{Ended, Watched},
+    hedge::{Ended, Other, Watched},
     stream_body,
     upstream::{Connection, SendFailure},
 };
@@ -196,15 +197,16 @@
             let dispatch = self.next().await?;
             let sent = self.attempt(&dispatch, resume_after).await?;
             let Some(mut opened) = sent else { continue };
+            if opened.is_judged {
+                return Ok(opened);
+            }
             if let Some(outcome) = self.judge(&opened) {
-                let status = opened.response.status().as_u16();
-                let cause = Cause::Target;
-                self.log_attempt(&dispatch.target, outcome, status, cause);
-                if !opened.attempt.end(&mut self.request, outcome) {
+                if !self.end_rejected(opened, outcome) {
                     return Err(self.give_up(Code::Cut));
                 }
                 continue;
             }
+            opened.is_judged = true;
             opened.is_event_stream =
                 self.request.route.kind == RouteKind::Streaming;
             return Ok(opened);
@@ -266,22 +268,21 @@
                 let sent = connection.send(request).await;
                 (sent, connection)
             };
-            match self.hedge(watched, sending, is_success).await {
+            let is_good = self.head_check();
+            match self.hedge(watched, sending, is_good).await {
                 Ended::Own((Ok(response), connection)) => {
                     let attempt = attempt.with_connection(connection);
-                    let is_event_stream = false;
-                    let opened = Opened { response, attempt, is_event_stream };
-                    return Ok(Some(opened));
+                    return Ok(Some(Opened::new(response, attempt)));
                 }
                 Ended::Own((Err(SendFailure::NotSent), _)) => continue,
                 Ended::Own((Err(reason), _)) => {
                     failure = reason;
                     break;
                 }
-                Ended::Other(opened, silence) => {
-                    let cause = Cause::Silence(silence);
-                    self.end_silent(attempt, dispatch, cause);
-                    return Ok(Some(*opened));
+                Ended::Other(other) => {
+                    let Other { opened, silence, failed } = *other;
+                    self.end_silent(attempt, dispatch, silence, failed);
+                    return Ok(Some(opened));
                 }
                 Ended::Over(given_up) => {
                     failure = SendFailure::Lost;
@@ -290,32 +291,67 @@
                 }
             }
         }
-        let outcome = match failure {
-            SendFailure::NotSent => Outcome::Unreachable,
-            SendFailure::NobodyThere => Outcome::NobodyThere,
-            SendFailure::Lost => Outcome::Broken,
-        };
+        let outcome = outcome_of(failure);
         self.host.pool.forget(dispatch.address);
-        self.log_attempt(&dispatch.target, outcome, 0, cause);
+        self.log_attempt(&attempt, outcome, 0, cause);
         match attempt.end(&mut self.request, outcome) {
             true => Ok(None),
             false => Err(self.give_up(Code::Unknown)),
         }
     }
 
-    /// Ends an attempt that brought no head before another one did.
+    /// Ends an attempt that brought no answer before another one did, or one
+    /// that does not count.
     fn end_silent(
         &mut self,
         mut attempt: Attempt<P>,
         dispatch: &Dispatch,
-        cause: Cause,
+        silence: Silence,
+        failed: Option<Sent>,
     ) {
-        let outcome = Outcome::Broken;
+        let (outcome, cause) = match failed {
+            Some((Ok(response), connection)) => {
+                let attempt = attempt.with_connection(connection);
+                let opened = Opened::new(response, attempt);
+                let outcome = self.judge(&opened).unwrap_or(Outcome::Whole);
+                self.end_rejected(opened, outcome);
+                return;
+            }
+            Some((Err(failure), _)) => (outcome_of(failure), Cause::Target),
+            None => (Outcome::Broken, Cause::Silence(silence)),
+        };
         self.host.pool.forget(dispatch.address);
-        self.log_attempt(&dispatch.target, outcome, 0, cause);
+        self.log_attempt(&attempt, outcome, 0, cause);
         attempt.end(&mut self.request, outcome);
     }
 
+    /// Ends an attempt whose answer is not passed on; says whether the
+    /// request may be sent again.
+    fn end_rejected(
+        &mut self,
+        mut opened: Opened<P>,
+        outcome: Outcome,
+    ) -> bool {
+        let status = opened.response.status().as_u16();
+        self.log_attempt(&opened.attempt, outcome, status, Cause::Target);
+        opened.attempt.end(&mut self.request, outcome)
+    }
+
+    /// Tells an answer that ends the wait for another one from one that does
+    /// not: it counts, and no other target could do better.
+    fn head_check(&self) -> impl Fn(&Sent) -> bool + use<P> {
+        let host = self.host.clone();
+        let id = self.head.id.clone();
+        move |(sent, _)| {
+            let Ok(response) = sent else { return false };
+            let (parts, ()) = head_of(response);
+            let head = host.platform.answer_head(&parts, &id);
+            let counts = head.is_own && head.is_sealed && !head.is_encoded;
+            let has_run = !head.is_misdirected && !head.is_not_run;
+            counts && has_run && !response.status().is_server_error()
+        }
+    }
+
     fn to_target(
         &self,
         dispatch: &Dispatch,
@@ -346,8 +382,7 @@
         let (parts, ()) = head_of(&opened.response);
         let head = self.host.platform.answer_head(&parts, &self.head.id);
         if head.is_own && !head.is_misdirected {
-            let sent_ms = opened.attempt.sent_ms;
-            self.host.note_notice(&self.request, sent_ms, head.notice);
+            self.host.note_notice(&opened.attempt, head.notice);
         }
         if !head.is_own || head.is_encoded {
             return Some(Outcome::Broken);
@@ -382,7 +417,7 @@
                 };
                 let status = parts.status.as_u16();
                 let outcome = Outcome::Broken;
-                self.log_attempt(&attempt.target, outcome, status, cause);
+                self.log_attempt(&attempt, outcome, status, cause);
                 attempt.discard();
                 if attempt.end(&mut self.request, Outcome::Broken) {
                     return None;
@@ -435,17 +470,18 @@
     /// Writes that an attempt came to nothing.
     pub fn log_attempt(
         &self,
-        target: &str,
+        attempt: &Attempt<P>,
         outcome: Outcome,
         status: u16,
         cause: Cause,
     ) {
         let detail = format!(
-            "id={} request={} target={target} outcome={outcome:?} \
+            "id={} request={} target={} outcome={outcome:?} \
              cause={cause:?} status={status} has_begun={} at_ms={}",
             self.head.id,
             self.fingerprint,
-            self.request.has_begun,
+            attempt.target,
+            attempt.has_begun,
             now_ms() - self.request.arrived_ms,
         );
         self.host.metrics.add("attempts_failed_total", "", 1);
@@ -471,9 +507,13 @@
     }
 }
 
-/// Whether a request that was sent has brought a success.
-fn is_success(sent: &Sent) -> bool {
-    sent.0.as_ref().is_ok_and(|response| response.status().is_success())
+/// How an attempt ended that brought no head.
+fn outcome_of(failure: SendFailure) -> Outcome {
+    match failure {
+        SendFailure::NotSent => Outcome::Unreachable,
+        SendFailure::NobodyThere => Outcome::NobodyThere,
+        SendFailure::Lost => Outcome::Broken,
+    }
 }
 
 /// What sending a request brought, and the connection that it used.
--- a/crates/raildale/src/fleet/entry/stream_body.rs
+++ b/crates/raildale/src/fleet/entry/stream_body.rs
@@ -12,12 +12,12 @@
 };
 use raildale_core::{
     Code, LogEvent,
-    gateway::{EventSplitter, Outcome, outcomes::Silence},
+    gateway::{EventSplitter, Outcome},
 };
 
 use super::{
     attempt::{Attempt, Cause, Opened},
-    hedge::{Ended, Watched},
+    hedge::{Ended, Other, Watched},
     proxy::{AnswerBody, BodyFailure, Exchange},
 };
 use crate::fleet::{
@@ -40,6 +40,7 @@
         exchange,
         body: opened.response.into_body(),
         attempt: opened.attempt,
+        begun: opened.begun.freeze(),
         splitter: EventSplitter::new(),
         pace: Pace::default(),
         is_over: false,
@@ -59,6 +60,8 @@
     exchange: Exchange<P>,
     body: Incoming,
     attempt: Attempt<P>,
+    /// What was read of the body before it was passed on.
+    begun: Bytes,
     splitter: EventSplitter,
     pace: Pace,
     is_over: bool,
@@ -146,6 +149,9 @@
         self.exchange.request.last_event_ms =
             has_event.then_some(self.pace.last_ms);
         loop {
+            if !self.begun.is_empty() {
+                return Piece::Data(std::mem::take(&mut self.begun));
+            }
             let watched = Watched {
                 target: &self.attempt.target,
                 has_begun: true,
@@ -166,8 +172,13 @@
                     return Piece::Broken(Cause::Target);
                 }
                 Ended::Own(None) => return Piece::End,
-                Ended::Other(opened, silence) => {
-                    self.switch(*opened, silence);
+                Ended::Other(other) => {
+                    let Other { opened, silence, failed } = *other;
+                    let cause = match failed {
+                        Some(_) => Cause::Target,
+                        None => Cause::Silence(silence),
+                    };
+                    self.switch(opened, cause);
                 }
                 Ended::Over(cause) => return Piece::Broken(cause),
             }
@@ -175,12 +186,12 @@
     }
 
     /// Goes on with another target's stream.
-    fn switch(&mut self, opened: Opened<P>, silence: Silence) {
+    fn switch(&mut self, opened: Opened<P>, cause: Cause) {
         let from = self.attempt.target.clone();
-        let cause = Cause::Silence(silence);
-        self.exchange.log_attempt(&from, Outcome::Broken, 200, cause);
+        let outcome = Outcome::Broken;
+        self.exchange.log_attempt(&self.attempt, outcome, 200, cause);
         self.attempt.discard();
-        self.attempt.end(&mut self.exchange.request, Outcome::Broken);
+        self.attempt.end(&mut self.exchange.request, outcome);
         self.take_up(&from, opened);
     }
 
@@ -188,6 +199,7 @@
         self.splitter.drop_torn();
         self.body = opened.response.into_body();
         self.attempt = opened.attempt;
+        self.begun = opened.begun.freeze();
         self.log_resumed(from, self.splitter.last_id());
     }
 
@@ -197,7 +209,8 @@
         self.attempt.discard();
         let may_repeat = self.attempt.end(request, Outcome::Broken);
         let target = self.attempt.target.clone();
-        self.exchange.log_attempt(&target, Outcome::Broken, 200, cause);
+        let outcome = Outcome::Broken;
+        self.exchange.log_attempt(&self.attempt, outcome, 200, cause);
         let mut obstacle = None;
         if may_repeat && now_ms() < self.exchange.request.due_ms {
             let last_id = self.splitter.last_id().map(str::to_string);
