Heads are judged by the limits in force

What callers saw: 431 on a kept connection for a request whose head the configuration in force allows, and no answer like it on a new connection; callers do not send such a request again. The other way round, a kept connection went on to take heads that are no longer allowed.

Cause: the limit on heads was the size of the connection's buffer, which is set once, from the limits in force when the connection is accepted.

Why this works: callers' connections may buffer 256 KiB, or what the limits at their start need if that is more, and the head's length is compared with the limits in force where the request is taken (heads.rs). A head over it is refused with the new code 2007 (431, not run), its number in the body, and the connection goes on. The length is that of the whole head: request line, headers, empty line. Before, up to 16 KiB beyond the limit passed.

What it costs: buffers grow with what is sent only, so idle connections and usual heads take what they took. At most, a connection holds 256 KiB in each direction (before: the longest head and 16 KiB). The memory of thousands of connections was not measured. A head that is longer than the buffer still gets hyper's bare 431 and the end of its connection.

--- a/crates/raildale-core/src/code.rs
+++ b/crates/raildale-core/src/code.rs
@@ -76,6 +76,7 @@
     RunKeyInvalid = 2004, 400, NotRun, "the run key was not issued by this system to this organisation";
     RunKeyExpired = 2005, 410, Unknown, "the run key's time is over; what it did is no longer known";
     BodyLate = 2006, 408, NotRun, "the request's body did not come in time";
+    HeadTooLarge = 2007, 431, NotRun, "the request's head is too large";
     RequestLimit = 3000, 429, NotRun, "the organisation's request limit is reached";
     ConcurrencyLimit = 3001, 429, NotRun, "the organisation's concurrency limit is reached";
     DeadlineHopeless = 3002, 503, NotRun, "the answer cannot be had before the deadline";
--- a/crates/raildale/src/fleet/entry/callers.rs
+++ b/crates/raildale/src/fleet/entry/callers.rs
@@ -19,7 +19,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{
-    EntryHost, proxy,
+    EntryHost, heads, proxy,
     proxy::AnswerBody,
     rest::{self, Rest},
 };
@@ -82,7 +82,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_MOST.max(rest::idle_most(limits)))
-        .max_buf_size(limits.max_header_bytes.max(8 << 10) + (16 << 10))
+        .max_buf_size(heads::buffer_bytes(limits))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
--- a/crates/raildale/src/fleet/entry/mod.rs
+++ b/crates/raildale/src/fleet/entry/mod.rs
@@ -12,6 +12,7 @@
 //! * [`peers`]: heartbeats and reports.
 //! * [`briefings`]: what agents are told.
 //! * [`culprits`]: records of requests that end their targets.
+//! * [`heads`]: how long heads of requests are and may be.
 //! * [`rest`]: how long callers' connections rest.
 //! * [`delays`]: how late the process runs.
 //! * [`digests`]: what the data centres of a large fleet tell one another.
@@ -23,6 +24,7 @@
 pub mod culprits;
 pub mod delays;
 pub mod digests;
+pub mod heads;
 pub mod hedge;
 pub mod host;
 pub mod peers;
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -21,6 +21,7 @@
     EntryHost,
     attempt::{Attempt, Cause, Opened},
     callers::{self, Progress},
+    heads,
     hedge::{Ended, Watched},
     stream_body,
     upstream::{Connection, SendFailure},
@@ -90,6 +91,14 @@
         let code = Code::Malformed;
         return refuse(&host, "", Refusal { code, retry_after_ms: None });
     };
+    if heads::head_bytes(&parts) > host.limits().max_header_bytes {
+        let code = Code::HeadTooLarge;
+        return refuse(
+            &host,
+            &head.id,
+            Refusal { code, retry_after_ms: None },
+        );
+    }
     let body = match read_body(&host, body).await {
         Ok(body) => body,
         Err(code) => {
