An attempt tries one kept connection, and then a new one

What callers saw: a request that used up an attempt, and with that possibly its last or its only repeat, at a target that was well.

Cause: a target may close connections that rest, and a request that is given to such a one comes back unsent. It was then given to another kept one; if that was closed as well, the target counted as unreachable, though it listened.

Evidence: connections.rs, with a target that closes two resting connections. With a second kept connection in place of a new one, as before, the test fails: its request has no answer (a trial with Pool::open twice). It passes now. How often this happened with callers is not known; no test drives the whole entry host into it, since both ends have to be noticed at certain moments between two tasks.

Why this works: Pool::openings gives an attempt a kept connection or a new one, then a new one, then none. Whatever has become of the other kept ones, a target that listens is reached.

--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -255,10 +255,8 @@
         let pool = self.host.pool.clone();
         let mut failure = SendFailure::NotSent;
         let mut cause = Cause::Target;
-        // A kept connection may have been closed by its target meanwhile:
-        // then nothing was sent, and a new connection is no new attempt.
-        for _ in 0..2 {
-            let opened = pool.open(dispatch.address, may_repeat).await;
+        let mut openings = pool.openings(dispatch.address, may_repeat);
+        while let Some(opened) = openings.next().await {
             let mut connection = match opened {
                 Ok(connection) => connection,
                 Err(reason) => {
--- a/crates/raildale/src/fleet/entry/upstream.rs
+++ b/crates/raildale/src/fleet/entry/upstream.rs
@@ -125,9 +125,22 @@
         address: SocketAddr,
         may_repeat: bool,
     ) -> Result<Connection, SendFailure> {
-        if let Some(kept) = self.take(address, may_repeat) {
-            return Ok(kept);
+        match self.take(address, may_repeat) {
+            Some(kept) => Ok(kept),
+            None => self.connect(address).await,
         }
+    }
+
+    /// The connections that one attempt may use.
+    pub fn openings(&self, address: SocketAddr, may_repeat: bool) -> Openings {
+        Openings { pool: self.clone(), address, may_repeat, opened: 0 }
+    }
+
+    /// A new connection.
+    async fn connect(
+        &self,
+        address: SocketAddr,
+    ) -> Result<Connection, SendFailure> {
         let stream = frames::connect(address).await.map_err(|error| {
             match error.kind() {
                 io::ErrorKind::ConnectionRefused => SendFailure::NobodyThere,
@@ -174,3 +187,32 @@
         None
     }
 }
+
+/// The connections that one attempt may use, one after the other.
+///
+/// A target may have closed a kept connection meanwhile; then nothing was
+/// sent, and another connection is no new attempt. A target that has closed
+/// one may have closed all, so the other one is new.
+#[derive(Debug)]
+pub struct Openings {
+    pool: Pool,
+    address: SocketAddr,
+    may_repeat: bool,
+    opened: u32,
+}
+
+impl Openings {
+    /// A kept connection or a new one, then a new one, then none.
+    ///
+    /// # Errors
+    ///
+    /// As [`Pool::open`] has.
+    pub async fn next(&mut self) -> Option<Result<Connection, SendFailure>> {
+        self.opened += 1;
+        match self.opened {
+            1 => Some(self.pool.open(self.address, self.may_repeat).await),
+            2 => Some(self.pool.connect(self.address).await),
+            _ => None,
+        }
+    }
+}
