--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -22,6 +22,7 @@
     EntryHost,
     attempt::{Attempt, Cause, Opened},
     callers::{self, Progress},
+    heads,
     hedge::{Ended, Other, Watched},
     stream_body,
     upstream::{Connection, SendFailure},
@@ -91,6 +92,10 @@
         let code = Code::Malformed;
         return refuse(&host, "", refusal_of(code, None));
     };
+    if heads::head_bytes(&parts) > host.limits().max_header_bytes {
+        let refusal = refusal_of(Code::HeadTooLarge, None);
+        return refuse(&host, &head.id, refusal);
+    }
     let body = match read_body(&host, body).await {
         Ok(body) => body,
         Err(code) => {
@@ -252,10 +257,8 @@
         let pool = self.host.pool.clone();
         let mut failure = SendFailure::NotSent;
         let mut cause = Cause::Target;
-        // A kept connection may have been closed by its target meanwhile:
-        // then nothing was sent, and a new connection is no new attempt.
-        for _ in 0..2 {
-            let opened = pool.open(dispatch.address, may_repeat).await;
+        let mut openings = pool.openings(dispatch.address, may_repeat);
+        while let Some(opened) = openings.next().await {
             let mut connection = match opened {
                 Ok(connection) => connection,
                 Err(reason) => {
