raildale-entry ends after its last answers are written

What callers saw: an answer that ended in the middle, with the end of its connection, when raildale-entry was told to stop and the caller read slowly. Both daemons were ended by SIGHUP at any time, and by SIGTERM without order while they started.

Cause: the entry host slept 100 ms after its last request was done and then exited, whatever its connections had still to write. Its agent exited at once, with what it had just said to entry hosts not yet written. SIGHUP had no handler; the others were set after listening began.

Evidence: leaving.rs of the testkit: a caller asks for long answers, and reads nothing for 4 s after SIGTERM. Before, four answers of 800,644 bytes were whole and 90,048 bytes of the fifth came. daemon_signals.rs: all four tests failed before (SIGHUP and SIGTERM while the settings are read, at both daemons). All pass now. That the agent's last words were lost is read from the code (its leaving report and its stop are effects of one event); no test shows it.

Why this works: an HTTP server of our own (http_server.rs) round the same router tells each connection to end after its answer (graceful_shutdown) and waits until all are closed, for 15 s at most, as long as callers' connections to the platform's entry host may make no progress. The shell goes on meanwhile, so that what is still asked is answered. Then connections between processes end, each when what was sent is written (Links::end), for 2.5 s at most, the silence after which they count as dead.

fleet/signals.rs is signals.rs now, and both products use it; handlers are the first thing that a daemon makes, in a small runtime of its own, since the number of threads stands in the settings. SIGINT stops a process in order as SIGTERM does: the daemons had that, the platform's program gets it.

A caller that reads nothing can keep a leaving raildale-entry for 15 s; one that is slow but longer than that is still cut.

--- a/crates/raildale/src/agent_daemon.rs
+++ b/crates/raildale/src/agent_daemon.rs
@@ -14,7 +14,7 @@
 };
 use tokio::{
     net::TcpListener,
-    sync::{Semaphore, mpsc},
+    sync::{Semaphore, mpsc, watch},
     task::AbortHandle,
 };
 
@@ -24,13 +24,14 @@
     config::{AgentFile, SchemeName},
     error::Error,
     http_client::HttpClient,
-    link::{LinkEvent, LinkHandle, Links, Side},
+    link::{self, LinkEvent, LinkHandle, Links, Side},
     logs,
     metrics::Metrics,
     metrics_page,
     origin::Origin,
     pacer::Pacer,
     settings_text,
+    signals::{Signals, Told},
     target::Target,
     trace::Span,
 };
@@ -50,12 +51,12 @@
 /// # Errors
 ///
 /// If its address cannot be listened on.
-pub async fn run(file: AgentFile) -> Result<(), Error> {
+pub async fn run(file: AgentFile, signals: Signals) -> Result<(), Error> {
     let clock = Clock::new();
     let listener = TcpListener::bind(file.node.listen).await?;
     let mut shell = Shell::new(file, clock);
     shell.start(listener);
-    shell.serve().await;
+    shell.serve(signals).await;
     Ok(())
 }
 
@@ -118,6 +119,7 @@
                 accepted_silence: None,
                 process: process.clone(),
                 events: links_tx.clone(),
+                ending: watch::Sender::new(false),
             })
         };
         let http = HttpClient::new(Some(file.node.listen.ip()));
@@ -159,10 +161,9 @@
         logs::event(&self.process, LogEvent::Started, "agent");
     }
 
-    async fn serve(&mut self) {
+    async fn serve(&mut self, mut signals: Signals) {
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut leave = leave_signal();
         while !self.is_done {
             tokio::select! {
                 _ = tick.tick() => {
@@ -178,12 +179,39 @@
                 Some(arrival) = self.arrivals_rx.recv() => {
                     self.on_arrival(arrival, Source::Origin);
                 }
-                Some(()) = leave.recv() => self.reduce(Event::Leave),
+                told = signals.next() => self.on_told(told),
             }
         }
+        self.end_links().await;
         logs::event(&self.process, LogEvent::Stopped, "agent");
     }
 
+    fn on_told(&mut self, told: Told) {
+        match told {
+            Told::Stop => self.reduce(Event::Leave),
+            // What the file holds for a process only a start takes over.
+            Told::SettingsChanged => self
+                .log(LogEvent::Reloaded, "nothing to take over while running"),
+        }
+    }
+
+    /// Ends the connections to processes, each once what was sent is
+    /// written.
+    async fn end_links(&mut self) {
+        self.entries.clear();
+        self.peers.clear();
+        let (entries, peers) = (&self.entry_links, &self.peers_links);
+        let ended = async {
+            let (entries, peers) =
+                tokio::join!(entries.end(SILENCE), peers.end(SILENCE));
+            entries + peers
+        };
+        let open = link::discarding(&mut self.links_rx, ended).await;
+        if open > 0 {
+            log::warn!("{open} connections to processes are still open");
+        }
+    }
+
     fn on_event(&mut self, event: Event) {
         if let Event::RunEnded(key, code) = &event
             && let Some((_, Some(span))) = self.runs.remove(key)
@@ -545,21 +573,3 @@
         seed: rand::random(),
     }
 }
-
-/// Hears SIGTERM and SIGINT.
-pub(crate) fn leave_signal() -> mpsc::Receiver<()> {
-    use tokio::signal::unix::{SignalKind, signal};
-    let (tx, rx) = mpsc::channel(1);
-    for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
-        let tx = tx.clone();
-        // Without the handler the default action ends the process, which is
-        // no worse than not starting.
-        let Ok(mut stream) = signal(kind) else { continue };
-        tokio::spawn(async move {
-            while stream.recv().await.is_some() {
-                let _ = tx.send(()).await;
-            }
-        });
-    }
-    rx
-}
--- a/crates/raildale/src/cli/daemon.rs
+++ b/crates/raildale/src/cli/daemon.rs
@@ -3,6 +3,7 @@
 use std::{future::Future, path::PathBuf, process::ExitCode};
 
 use bpaf::Bpaf;
+use serde::de::DeserializeOwned;
 
 use crate::{
     agent_daemon,
@@ -10,6 +11,7 @@
     entry_daemon,
     error::Error,
     logs,
+    signals::Signals,
 };
 
 /// What a daemon is told on its command line.
@@ -28,26 +30,30 @@
 
 /// Runs `raildale-entry`.
 pub fn entry(args: &DaemonArgs) -> ExitCode {
-    let file = config::read::<EntryFile>(&args.settings);
-    start(args, file, |file| file.node.clone(), entry_daemon::run)
+    start(args, |file: &EntryFile| file.node.clone(), entry_daemon::run)
 }
 
 /// Runs `raildale-agent`.
 pub fn agent(args: &DaemonArgs) -> ExitCode {
-    let file = config::read::<AgentFile>(&args.settings);
-    start(args, file, |file| file.node.clone(), agent_daemon::run)
+    start(args, |file: &AgentFile| file.node.clone(), agent_daemon::run)
 }
 
 fn start<T, F>(
     args: &DaemonArgs,
-    file: Result<T, Error>,
     node: impl Fn(&T) -> NodeConfig,
-    run: impl FnOnce(T) -> F,
+    run: impl FnOnce(T, Signals) -> F,
 ) -> ExitCode
 where
+    T: DeserializeOwned,
     F: Future<Output = Result<(), Error>>,
 {
-    let file = match file {
+    // Before anything else, so that no signal ends the process while it
+    // starts.
+    let signals = match listen_to_signals() {
+        Ok(signals) => signals,
+        Err(error) => return fail(&error, 1),
+    };
+    let file = match config::read::<T>(&args.settings) {
         Ok(file) => file,
         Err(error) => return fail(&error, EXIT_CONFIG),
     };
@@ -64,12 +70,20 @@
         Ok(runtime) => runtime,
         Err(error) => return fail(&error.into(), 1),
     };
-    match runtime.block_on(run(file)) {
+    match runtime.block_on(run(file, signals)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(&error, 1),
     }
 }
 
+/// Listens in a runtime of its own: how many threads the other one has stands
+/// in the settings. Handlers belong to the process, and what comes until the
+/// other one runs is kept.
+fn listen_to_signals() -> Result<Signals, Error> {
+    let runtime = runtime(1)?;
+    runtime.block_on(async { Signals::new() })
+}
+
 fn runtime(threads: usize) -> std::io::Result<tokio::runtime::Runtime> {
     let mut builder = match threads {
         0 | 1 => tokio::runtime::Builder::new_current_thread(),
--- a/crates/raildale/src/entry_daemon.rs
+++ b/crates/raildale/src/entry_daemon.rs
@@ -15,22 +15,24 @@
     net::TcpListener,
     sync::{mpsc, oneshot, watch},
     task::AbortHandle,
+    time::{Interval, MissedTickBehavior},
 };
 
 use crate::{
-    agent_daemon::leave_signal,
     clock::Clock,
     config::EntryFile,
     error::Error,
     http_api::{self, Api},
     http_client::HttpClient,
-    link::{LinkEvent, LinkHandle, Links, Side},
+    http_server::Ending,
+    link::{self, LinkEvent, LinkHandle, Links, Side},
     logs,
     metrics::Metrics,
     origin::Origin,
     platform::Platform,
     settings_text,
     settings_watch::{self, Reading},
+    signals::{Signals, Told},
     status::Status,
 };
 
@@ -41,6 +43,10 @@
 /// entry hosts speak twice a second.
 const SILENCE: Duration = Duration::from_millis(2_500);
 
+/// How long the last answers may take to be written: more than the pause of
+/// any caller that still wants its answer.
+const LAST_ANSWERS: Duration = Duration::from_secs(15);
+
 /// What callers' and operators' handlers ask of the shell.
 #[derive(Debug)]
 pub enum Input {
@@ -73,11 +79,11 @@
 /// # Errors
 ///
 /// If one of its addresses cannot be listened on.
-pub async fn run(file: EntryFile) -> Result<(), Error> {
+pub async fn run(file: EntryFile, signals: Signals) -> Result<(), Error> {
     let clock = Clock::new();
     let listener = TcpListener::bind(file.node.listen).await?;
     let http = TcpListener::bind(file.http.listen).await?;
-    let mut shell = Shell::new(file, clock);
+    let mut shell = Shell::new(file, clock, signals);
     shell.start(listener, http);
     shell.serve().await;
     Ok(())
@@ -105,11 +111,14 @@
     platform: Platform,
     origin: Origin,
     metrics: Arc<Metrics>,
+    signals: Signals,
+    tick: Interval,
+    http_ending: Arc<Ending>,
     is_done: bool,
 }
 
 impl Shell {
-    fn new(file: EntryFile, clock: Clock) -> Shell {
+    fn new(file: EntryFile, clock: Clock, signals: Signals) -> Shell {
         let process: Arc<str> = file.node.name.as_str().into();
         let (links_tx, links_rx) = mpsc::unbounded_channel();
         let (inputs_tx, inputs_rx) = mpsc::unbounded_channel();
@@ -124,6 +133,7 @@
             accepted_silence: Some(SILENCE),
             process: process.clone(),
             events: links_tx,
+            ending: watch::Sender::new(false),
         });
         let http = HttpClient::new(Some(file.node.listen.ip()));
         let config = entry_config(&file, key, clock);
@@ -147,6 +157,9 @@
             met: HashMap::new(),
             dialling: HashMap::new(),
             replies: HashMap::new(),
+            signals,
+            tick: ticking(),
+            http_ending: Arc::new(Ending::new()),
             is_done: false,
         }
     }
@@ -173,32 +186,73 @@
             self.file.node.spans,
             self.clock,
         );
-        tokio::spawn(http_api::serve(http, api));
+        let ending = self.http_ending.clone();
+        tokio::spawn(http_api::serve(http, api, ending));
         logs::event(&self.process, LogEvent::Started, "entry host");
     }
 
     async fn serve(&mut self) {
-        let mut tick = tokio::time::interval(TICK);
-        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut leave = leave_signal();
         while !self.is_done {
+            self.step().await;
+        }
+        self.end_connections().await;
+        self.end_links().await;
+        logs::event(&self.process, LogEvent::Stopped, "entry host");
+    }
+
+    async fn step(&mut self) {
+        tokio::select! {
+            _ = self.tick.tick() => {
+                self.observe();
+                self.reduce(Event::Tick);
+            }
+            Some(input) = self.inputs_rx.recv() => self.on_input(input),
+            Some(event) = self.links_rx.recv() => self.on_link(event),
+            Some(reading) = self.readings_rx.recv() => {
+                self.on_reading(reading);
+            }
+            told = self.signals.next() => self.on_told(told),
+        }
+    }
+
+    fn on_told(&mut self, told: Told) {
+        match told {
+            Told::Stop => self.reduce(Event::Leave),
+            // What the file holds for a process only a start takes over.
+            Told::SettingsChanged => self
+                .log(LogEvent::Reloaded, "nothing to take over while running"),
+        }
+    }
+
+    /// Ends callers' connections, each once its answer is written; what they
+    /// still ask meanwhile is answered.
+    async fn end_connections(&mut self) {
+        let ending = self.http_ending.clone();
+        let mut ended = std::pin::pin!(ending.end(LAST_ANSWERS));
+        loop {
             tokio::select! {
-                _ = tick.tick() => {
-                    self.observe();
-                    self.reduce(Event::Tick);
+                open = &mut ended => {
+                    if open > 0 {
+                        log::warn!("{open} connections are still open");
+                    }
+                    return;
                 }
-                Some(input) = self.inputs_rx.recv() => self.on_input(input),
-                Some(event) = self.links_rx.recv() => self.on_link(event),
-                Some(reading) = self.readings_rx.recv() => {
-                    self.on_reading(reading);
-                }
-                Some(()) = leave.recv() => self.reduce(Event::Leave),
+                () = self.step() => {}
             }
         }
-        logs::event(&self.process, LogEvent::Stopped, "entry host");
-        // The last answers are in their connections' buffers; the runtime is
-        // given a moment to flush them.
-        tokio::time::sleep(TICK * 5).await;
+    }
+
+    /// Ends the connections to processes, each once what was sent is
+    /// written.
+    async fn end_links(&mut self) {
+        self.agents.clear();
+        self.entries.clear();
+        self.met.clear();
+        let ended = self.links.end(SILENCE);
+        let open = link::discarding(&mut self.links_rx, ended).await;
+        if open > 0 {
+            log::warn!("{open} connections to processes are still open");
+        }
     }
 
     fn on_input(&mut self, input: Input) {
@@ -389,6 +443,12 @@
     }
 }
 
+fn ticking() -> Interval {
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    tick
+}
+
 fn identity(file: &EntryFile, clock: Clock) -> Identity {
     Identity {
         name: file.node.name.clone(),
--- a/crates/raildale/src/fleet/agent/mod.rs
+++ b/crates/raildale/src/fleet/agent/mod.rs
@@ -23,9 +23,11 @@
 use super::{
     edge::{Dialect, Store, WeightOrigin, WeightTarget},
     settings::FleetFile,
+};
+use crate::{
+    error::Error,
     signals::{Signals, Told},
 };
-use crate::error::Error;
 
 /// Runs an agent until it is told to stop.
 ///
--- a/crates/raildale/src/fleet/entry/mod.rs
+++ b/crates/raildale/src/fleet/entry/mod.rs
@@ -42,9 +42,11 @@
 use super::{
     edge::{Dialect, Store},
     settings::FleetFile,
+};
+use crate::{
+    error::Error,
     signals::{Signals, Told},
 };
-use crate::error::Error;
 
 pub use self::host::EntryHost;
 
--- a/crates/raildale/src/fleet/mod.rs
+++ b/crates/raildale/src/fleet/mod.rs
@@ -11,12 +11,10 @@
 //! * [`entry`]: the shell of an entry host.
 //! * [`agent`]: the shell of an agent.
 //! * [`settings`]: the settings file of both.
-//! * [`signals`]: what both are told by signals.
 
 pub mod agent;
 pub mod edge;
 pub mod entry;
 pub mod frames;
 pub mod settings;
-pub mod signals;
 pub mod steady_clock;
--- a/crates/raildale/src/http_api/mod.rs
+++ b/crates/raildale/src/http_api/mod.rs
@@ -31,8 +31,8 @@
 use crate::{
     clock::Clock,
     entry_daemon::{GONE, Input, Reply},
+    http_server::{self, Ending},
     metrics::Metrics,
-    metrics_page,
     platform::Platform,
     request_body,
     status::Status,
@@ -139,9 +139,9 @@
     }
 }
 
-/// Serves callers and operators for as long as the process runs.
-pub async fn serve(listener: TcpListener, api: Api) {
-    metrics_page::serve(listener, router(api)).await
+/// Serves callers and operators until it is ended.
+pub async fn serve(listener: TcpListener, api: Api, ending: Arc<Ending>) {
+    http_server::serve(listener, router(api), &ending).await
 }
 
 fn router(api: Api) -> Router {
--- a/crates/raildale/src/link.rs
+++ b/crates/raildale/src/link.rs
@@ -16,7 +16,7 @@
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpSocket, TcpStream, tcp::OwnedWriteHalf},
-    sync::mpsc,
+    sync::{mpsc, watch},
     task::AbortHandle,
 };
 use tokio_util::codec::{Framed, FramedRead};
@@ -118,9 +118,23 @@
     pub process: Arc<str>,
     /// Where events go.
     pub events: mpsc::UnboundedSender<LinkEvent>,
+    /// Set once no connection is to come up any more; every connection
+    /// listens to it for as long as it is open.
+    pub ending: watch::Sender<bool>,
 }
 
 impl Links {
+    /// Waits for `most` until every connection has written what was sent
+    /// over it and is closed; returns how many are still open. Connections
+    /// whose handles are kept stay open.
+    pub async fn end(&self, most: Duration) -> usize {
+        self.ending.send_replace(true);
+        match tokio::time::timeout(most, self.ending.closed()).await {
+            Ok(()) => 0,
+            Err(_) => self.ending.receiver_count(),
+        }
+    }
+
     /// Accepts connections for ever.
     pub async fn accept_all(self: Arc<Links>, listener: TcpListener) {
         loop {
@@ -206,6 +220,10 @@
         side: Side,
         frames: greeting::Frames,
     ) {
+        let ending = self.ending.subscribe();
+        if *ending.borrow() {
+            return;
+        }
         let name: Name = peer.name.as_str().into();
         let id = rand::random();
         let (queue, outgoing) = mpsc::channel(QUEUE);
@@ -283,6 +301,21 @@
     }
 }
 
+/// Waits for `ended`; what connections tell meanwhile, with the handles of
+/// those that have just come up, is dropped.
+pub async fn discarding<T>(
+    events: &mut mpsc::UnboundedReceiver<LinkEvent>,
+    ended: impl Future<Output = T>,
+) -> T {
+    let mut ended = std::pin::pin!(ended);
+    loop {
+        tokio::select! {
+            ended = &mut ended => return ended,
+            Some(_) = events.recv() => {}
+        }
+    }
+}
+
 async fn connect(
     address: SocketAddr,
     bind_ip: IpAddr,
--- a/crates/raildale/src/metrics_page.rs
+++ b/crates/raildale/src/metrics_page.rs
@@ -1,10 +1,6 @@
 //! The `/metrics` page of a process that serves nothing else over HTTP.
 
-use std::{
-    net::SocketAddr,
-    panic::{AssertUnwindSafe, RefUnwindSafe, UnwindSafe},
-    sync::Arc,
-};
+use std::{net::SocketAddr, panic::AssertUnwindSafe, sync::Arc};
 
 use gotham::{
     helpers::http::{Body, response::create_response},
@@ -18,7 +14,10 @@
 };
 use tokio::net::TcpListener;
 
-use crate::metrics::Metrics;
+use crate::{
+    http_server::{self, Ending},
+    metrics::Metrics,
+};
 
 /// The metrics, as gotham hands them to the page.
 #[derive(Clone, StateData)]
@@ -31,25 +30,15 @@
     let router = router(shared);
     tokio::spawn(async move {
         match TcpListener::bind(address).await {
-            Ok(listener) => serve(listener, router).await,
+            Ok(listener) => {
+                let ending = Ending::new();
+                http_server::serve(listener, router, &ending).await;
+            }
             Err(error) => log::error!("metrics on {address}: {error}"),
         }
     });
 }
 
-/// Serves a router on a listener, without TLS.
-pub async fn serve<H>(listener: TcpListener, handler: H)
-where
-    H: gotham::handler::NewHandler + UnwindSafe + RefUnwindSafe + 'static,
-{
-    gotham::bind_server(listener, handler, |stream| {
-        // Small answers must not wait for a full segment.
-        let _ = stream.set_nodelay(true);
-        std::future::ready(Ok(stream))
-    })
-    .await
-}
-
 fn router(shared: Shared) -> Router {
     let middleware = StateMiddleware::new(shared);
     let pipeline = new_pipeline().add(middleware).build();
--- a/crates/raildale/src/fleet/signals.rs
+++ b/crates/raildale/src/signals.rs
@@ -1,4 +1,4 @@
-//! What a process of a fleet is told by signals.
+//! What a process is told by signals.
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -20,6 +20,7 @@
 #[derive(Debug)]
 pub struct Signals {
     terminate: Signal,
+    interrupt: Signal,
     hang_up: Signal,
 }
 
@@ -32,6 +33,7 @@
     pub fn new() -> Result<Signals, Error> {
         Ok(Signals {
             terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
             hang_up: signal(SignalKind::hangup())?,
         })
     }
@@ -40,6 +42,7 @@
     pub async fn next(&mut self) -> Told {
         tokio::select! {
             _ = self.terminate.recv() => Told::Stop,
+            _ = self.interrupt.recv() => Told::Stop,
             _ = self.hang_up.recv() => Told::SettingsChanged,
         }
     }
