Requests that still wait are refused before a process ends

What callers saw: a closed connection, without a word, for a request that had waited at a leaving entry host for a target until the grace was over. A closed connection promises nothing, so what may run once was lost for its caller, though it had not been sent to any target.

Cause: the wait for a target did not look at the end of the process. Only requests that came after the last call were refused.

Why this works: from 1 s before the end of the grace (the exit margin and 0.5 s to write refusals) a request that would have to wait on is refused with HostLeaving; if an earlier try of it may have run, with Unknown. One that has a target then is still sent. A stream that has begun waits on, since its caller's connection is closed either way.

--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -121,6 +121,11 @@
 /// What is kept free before the process is killed, in milliseconds.
 const EXIT_MARGIN_MS: u64 = 500;
 
+/// Requests that still wait for a target are refused this long before that, in
+/// milliseconds: time to write their refusals, with a margin for a process
+/// that runs late. The figure is an estimate.
+const LAST_REFUSALS_MS: u64 = 500;
+
 /// A leaving entry host takes nothing new this long before it is killed, in
 /// milliseconds: most streams end within it. Callers send elsewhere by then.
 const LAST_CALL_MS: u64 = 5_000;
@@ -277,10 +282,20 @@
     /// Whether it has been leaving for so long that what comes now might not
     /// end in time.
     pub fn is_past_last_call(&self) -> bool {
-        let open_ms = self.grace_ms.saturating_sub(LAST_CALL_MS);
+        self.is_killed_within(LAST_CALL_MS)
+    }
+
+    /// Whether requests that wait for a target are to be refused, since the
+    /// process is about to end.
+    pub fn is_past_waiting(&self) -> bool {
+        self.is_killed_within(EXIT_MARGIN_MS + LAST_REFUSALS_MS)
+    }
+
+    fn is_killed_within(&self, left_ms: u64) -> bool {
+        let stays_ms = self.grace_ms.saturating_sub(left_ms);
         self.leaving_since_ms
             .get()
-            .is_some_and(|since_ms| now_ms() > since_ms + open_ms)
+            .is_some_and(|since_ms| now_ms() > since_ms + stays_ms)
     }
 
     /// Where a fleet's callers reach the entry host at `ip`: all of them
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -229,6 +229,9 @@
             match next {
                 Next::Send(dispatch) => return Ok(dispatch),
                 Next::Refuse(refusal) => return Err(refusal),
+                Next::Wait(_) if self.is_to_be_refused() => {
+                    return Err(self.refuse_leaving());
+                }
                 Next::Wait(ms) => {
                     tokio::time::sleep(Duration::from_millis(ms)).await;
                 }
@@ -236,6 +239,21 @@
         }
     }
 
+    /// Whether its wait is over, since this process is about to end. A stream
+    /// that has begun has nothing to gain from a refusal.
+    fn is_to_be_refused(&self) -> bool {
+        let has_begun = self.request.last_event_ms.is_some();
+        self.host.is_past_waiting() && !has_begun
+    }
+
+    /// The refusal of a request that waits while this process ends: it may be
+    /// sent elsewhere at once.
+    fn refuse_leaving(&self) -> Refusal {
+        let mut refusal = self.give_up(Code::HostLeaving);
+        refusal.retry_after_ms = refusal.retry_after_ms.map(|_| 0);
+        refusal
+    }
+
     /// Sends the request to one target and waits for the answer's head.
     /// `None` if none came and the request may go elsewhere.
     ///
