Refusals and the log of a request in files of their own

proxy.rs held five jobs in 583 lines; is_lost and silence asked the same question, and the tests ask the one that is left (is there a silence), as strictly. No behaviour changes.

--- a/crates/raildale-core/src/gateway/outcomes.rs
+++ b/crates/raildale-core/src/gateway/outcomes.rs
@@ -141,19 +141,6 @@
         serves.is_some_and(|version| version < least)
     }
 
-    /// Whether another target is asked for a request that one has been silent
-    /// about for `silent_ms`.
-    pub fn is_lost(
-        &self,
-        now_ms: u64,
-        request: &Admission,
-        target: &str,
-        silent_ms: u64,
-        has_begun: bool,
-    ) -> bool {
-        self.silence(now_ms, request, target, silent_ms, has_begun).is_some()
-    }
-
     /// Why another target is asked for a request that one has been silent
     /// about for `silent_ms`; `None` if none is.
     pub fn silence(
--- a/crates/raildale-core/tests/gateway.rs
+++ b/crates/raildale-core/tests/gateway.rs
@@ -611,8 +611,8 @@
     gateway.targets.note_report(heard_ms, address, report(1));
     let mut request = admit(&mut gateway, "/deep/");
     request.tried.push("t".into());
-    let lost = gateway.is_lost(START_MS, &request, "t", silent_ms, false);
-    assert_eq!(lost, is_lost);
+    let silence = gateway.silence(START_MS, &request, "t", silent_ms, false);
+    assert_eq!(silence.is_some(), is_lost);
 }
 
 #[parameterized(
@@ -640,8 +640,8 @@
     }
     let mut request = admit(&mut gateway, "/deep/");
     request.tried.push("t".into());
-    let lost = gateway.is_lost(START_MS, &request, "t", silent_ms, true);
-    assert_eq!(lost, is_lost);
+    let silence = gateway.silence(START_MS, &request, "t", silent_ms, true);
+    assert_eq!(silence.is_some(), is_lost);
 }
 
 #[parameterized(
--- a/crates/raildale/src/fleet/entry/mod.rs
+++ b/crates/raildale/src/fleet/entry/mod.rs
@@ -4,6 +4,8 @@
 //! * [`callers`]: the ports that callers use.
 //! * [`attempt`]: a request at one target.
 //! * [`hedge`]: a second attempt beside one whose target is silent.
+//! * `exchange_log`: what is written of a request.
+//! * [`refusals`]: answers of the entry host itself.
 //! * [`proxy`]: one request from its head to its answer.
 //! * [`stream_body`]: an answer that is a stream of events.
 //! * [`store_watch`]: the store's kinds, watched.
@@ -24,11 +26,13 @@
 pub mod culprits;
 pub mod delays;
 pub mod digests;
+mod exchange_log;
 pub mod heads;
 pub mod hedge;
 pub mod host;
 pub mod peers;
 pub mod proxy;
+pub mod refusals;
 pub mod rest;
 pub mod snapshots;
 pub mod store_watch;
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode, Uri,
+    HeaderMap, Method, Request, Response, Uri,
     body::{Body, Incoming},
     http::request::Parts,
 };
@@ -14,7 +14,7 @@
     gateway::{
         Admission, Fingerprint, Outcome, Refusal, RequestHead, RouteKind,
         outcomes::Silence,
-        request::{Dispatch, Next, Obstacle},
+        request::{Dispatch, Next},
     },
 };
 
@@ -24,6 +24,7 @@
     callers::{self, Progress},
     heads,
     hedge::{Ended, Other, Watched},
+    refusals::{refusal_of, refuse, respond},
     stream_body,
     upstream::{Connection, SendFailure},
 };
@@ -130,11 +131,6 @@
     exchange.run().await
 }
 
-/// A refusal of the entry host itself.
-fn refusal_of(code: Code, retry_after_ms: Option<u64>) -> Refusal {
-    Refusal { code, obstacle: Obstacle::Host, retry_after_ms }
-}
-
 fn fingerprint(
     method: &Method,
     head: &RequestHead,
@@ -487,45 +483,6 @@
         self.host.log(event, &detail);
         respond(&self.host, &self.head.id, refusal)
     }
-
-    /// Writes that an attempt came to nothing.
-    pub fn log_attempt(
-        &self,
-        attempt: &Attempt<P>,
-        outcome: Outcome,
-        status: u16,
-        cause: Cause,
-    ) {
-        let detail = format!(
-            "id={} request={} target={} outcome={outcome:?} \
-             cause={cause:?} status={status} has_begun={} at_ms={}",
-            self.head.id,
-            self.fingerprint,
-            attempt.target,
-            attempt.has_begun,
-            now_ms() - self.request.arrived_ms,
-        );
-        self.host.metrics.add("attempts_failed_total", "", 1);
-        self.host.log(LogEvent::AttemptFailed, &detail);
-    }
-
-    /// Writes that the request has its answer.
-    pub fn log_done(&self, target: &str, status: StatusCode, pace: &str) {
-        let took_ms = now_ms() - self.request.arrived_ms;
-        self.host.metrics.record("request_ms", "", took_ms);
-        let detail = format!(
-            "id={} request={} route={} target={target} status={} tries={} \
-             took_ms={took_ms} waited_ms={} is_back={} {pace}",
-            self.head.id,
-            self.fingerprint,
-            self.request.route.name,
-            status.as_u16(),
-            self.request.tried.len(),
-            self.request.sent_ms.saturating_sub(self.request.arrived_ms),
-            self.request.is_back,
-        );
-        self.host.log(LogEvent::RequestDone, &detail);
-    }
 }
 
 /// How an attempt ended that brought no head.
@@ -548,36 +505,3 @@
     *head.headers_mut() = response.headers().clone();
     head.into_parts()
 }
-
-/// Answers a request that was not let in.
-fn refuse<P>(
-    host: &EntryHost<P>,
-    id: &str,
-    refusal: Refusal,
-) -> Response<AnswerBody>
-where
-    P: Dialect + Store + 'static,
-{
-    let code = refusal.code.number();
-    host.log(LogEvent::RequestRefused, &format!("id={id} code={code}"));
-    respond(host, id, refusal)
-}
-
-fn respond<P>(
-    host: &EntryHost<P>,
-    id: &str,
-    refusal: Refusal,
-) -> Response<AnswerBody>
-where
-    P: Dialect + Store + 'static,
-{
-    let number = refusal.code.number().to_string();
-    host.metrics.add("refused_total", &format!("code=\"{number}\""), 1);
-    let text = Bytes::from(refusal.code.to_string());
-    let mut response = Response::new(callers::whole(text));
-    *response.status_mut() = StatusCode::from_u16(refusal.code.http_status())
-        .unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
-    *response.headers_mut() =
-        host.platform.refusal_headers(id, refusal.retry_after_ms);
-    response
-}
