A stream has all its time

What callers saw: a stream cut 28 ms before its deadline, with 18 of 20 and 20 of 21 events.

Cause: a request's time ends 30 ms early, so that an answer of the entry host itself reaches the caller; the same bound ended answers in progress, which none of our own can follow.

Why this works: an answer that has begun ends at its deadline itself.

--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -7,8 +7,8 @@
     fading::Fading,
     quarantine::{Quarantine, Standing},
     request::{
-        Admission, Dispatch, Next, Obstacle, Place, RETRY_AFTER_LEAST_MS,
-        Refusal, RequestHead, refusal,
+        ANSWER_MARGIN_MS, Admission, Dispatch, Next, Obstacle, Place,
+        RETRY_AFTER_LEAST_MS, Refusal, RequestHead, refusal,
     },
     retry_budget::{RetryBound, RetryBudget},
     routes::{NoRoute, Routing},
@@ -70,10 +70,6 @@
 /// first.
 const FIRST_TRY_SHARE: f64 = 0.9;
 
-/// Time that the answer itself needs to reach the caller before the route's
-/// bound, in milliseconds.
-const ANSWER_MARGIN_MS: u64 = 30;
-
 /// The share of other entry hosts that choose among the same targets: those
 /// in the same data centre, and others when theirs are full.
 const ALIKE_SHARE: f64 = 0.4;
--- a/crates/raildale-core/src/gateway/request.rs
+++ b/crates/raildale-core/src/gateway/request.rs
@@ -100,6 +100,12 @@
         (goal_at_ms, self.number())
     }
 
+    /// When an answer that has begun ends, whole or not, on the process's
+    /// clock: none of the entry host itself can follow it.
+    pub fn answer_due_ms(&self) -> u64 {
+        self.due_ms + ANSWER_MARGIN_MS
+    }
+
     /// Whether another target may be asked after one answered with a failure
     /// of its own.
     pub fn may_ask_another(&self) -> bool {
@@ -162,6 +168,10 @@
     Refuse(Refusal),
 }
 
+/// Time that an answer of the entry host itself needs to reach the caller, in
+/// milliseconds.
+pub(super) const ANSWER_MARGIN_MS: u64 = 30;
+
 /// The shortest time after which a refused request comes back.
 pub const RETRY_AFTER_LEAST_MS: u64 = 400;
 
--- a/crates/raildale-core/tests/gateway.rs
+++ b/crates/raildale-core/tests/gateway.rs
@@ -594,6 +594,16 @@
     }
 }
 
+/// A stream was cut 28 ms before its caller's deadline.
+#[test]
+fn an_answer_that_has_begun_has_all_its_time() {
+    let mut gateway = gateway();
+    let request = admit(&mut gateway, "/deep/");
+    let timeout_ms = request.route.timeout_ms;
+    assert_eq!(request.answer_due_ms(), START_MS + timeout_ms);
+    assert!(request.due_ms < request.answer_due_ms());
+}
+
 #[parameterized(
     agent_heard = { 100, 400, false },
     agent_silent = { 1_200, 400, true },
--- a/crates/raildale/src/fleet/entry/hedge.rs
+++ b/crates/raildale/src/fleet/entry/hedge.rs
@@ -76,7 +76,7 @@
         let mut quiet_until_ms = 0;
         loop {
             let looked_ms = now_ms();
-            let left_ms = self.request.due_ms.saturating_sub(looked_ms);
+            let left_ms = self.due_ms(watched).saturating_sub(looked_ms);
             let look = LOOK.min(Duration::from_millis(left_ms));
             if let Ok(brought) = tokio::time::timeout(look, &mut own).await {
                 return Ended::Own(brought);
@@ -166,13 +166,21 @@
 
     /// Why an attempt must not be waited for any longer; `None` if it may.
     fn over(&self, watched: Watched<'_>) -> Option<Cause> {
-        if now_ms() >= self.request.due_ms {
+        if now_ms() >= self.due_ms(watched) {
             return Some(Cause::Deadline);
         }
         let is_too_old = is_too_old(&self.host, &self.request, watched);
         is_too_old.then_some(Cause::Version)
     }
 
+    /// When an attempt is over, whatever it has brought.
+    fn due_ms(&self, watched: Watched<'_>) -> u64 {
+        match watched.has_begun {
+            true => self.request.answer_due_ms(),
+            false => self.request.due_ms,
+        }
+    }
+
     fn silence(
         &self,
         watched: Watched<'_>,
