Comments that the hedge and callers' time-outs had made untrue

Cause::Silence ends an attempt only once another target has begun to answer; a body may have been read as far as its first event; probes end a connection after its own time-out, which is longer for callers. Comments and a blank line only; fmt, clippy and two test files run.

--- a/crates/raildale/src/fleet/entry/attempt.rs
+++ b/crates/raildale/src/fleet/entry/attempt.rs
@@ -28,14 +28,14 @@
     Deadline,
     /// The target's version was about to be too old to start on.
     Version,
-    /// The target was given up.
+    /// The target was silent, and another one has begun to answer.
     Silence(Silence),
 }
 
 /// An attempt whose answer's head has come.
 #[derive(Debug)]
 pub struct Opened<P: Dialect + Store + 'static> {
-    /// The answer, its body unread.
+    /// The answer; its body is unread but for what has `begun`.
     pub response: Response<Incoming>,
     /// The attempt.
     pub attempt: Attempt<P>,
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -321,6 +321,7 @@
         let running = self.in_progress.get();
         self.log(LogEvent::Stopped, &format!("in_progress={running}"));
     }
+
     /// Waits until nothing is in progress, from `start_ms` to `end_ms` at
     /// most.
     async fn until_quiet(&self, start_ms: u64, end_ms: u64) {
--- a/crates/raildale/src/fleet/frames.rs
+++ b/crates/raildale/src/fleet/frames.rs
@@ -26,8 +26,8 @@
 const CALLER_USER_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Time without a byte after which a peer is probed, and from probe to probe:
-/// the shortest that the system takes. The second one without an answer ends
-/// the connection, since [`USER_TIMEOUT`] is over by then.
+/// the shortest that the system takes. The first one without an answer after
+/// the connection's own time-out ends it.
 const PROBE_EVERY: Duration = Duration::from_secs(1);
 
 /// Pause after a connection could not be accepted: descriptors may have run
