A target may read nothing for as long as the deadline allows

Cause: the user time-out of 1.5 s, which finds connections that have fallen silent, also counts a closed receive window, whatever the peer acknowledges. The age of the last acknowledgement does not tell them apart either, since the gaps between probes grow past 1.5 s; the count of unanswered probes does.

While bytes are outstanding, connections to targets are sampled (TCP_INFO) each 250 ms. A peer that answers its probes moves the time-out ahead, by 2 s at most, which bounds the gap to the next probe as well; one that answers none for 2.25 s is silent. Idle connections and those with an open window are left to the kernel as before.

--- a/crates/raildale/src/fleet/entry/upstream.rs
+++ b/crates/raildale/src/fleet/entry/upstream.rs
@@ -151,14 +151,14 @@
         &self,
         address: SocketAddr,
     ) -> Result<Connection, SendFailure> {
-        let stream = frames::connect(address).await.map_err(|error| {
-            match error.kind() {
+        let stream = frames::connect_target(address).await.map_err(
+            |error| match error.kind() {
                 io::ErrorKind::ConnectionRefused => {
                     SendFailure::ConnectionRefused
                 }
                 _ => SendFailure::NotSent,
-            }
-        })?;
+            },
+        )?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|_| SendFailure::NotSent)?;
--- a/crates/raildale/src/fleet/frames.rs
+++ b/crates/raildale/src/fleet/frames.rs
@@ -8,6 +8,7 @@
 use raildale_core::fleet_message::{Datagram, FleetBody, FleetFrame, Note};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
+use super::watched_stream::WatchedStream;
 use crate::{
     codec,
     error::{Error, ErrorKind},
@@ -119,6 +120,17 @@
     Ok(stream)
 }
 
+/// Opens a connection to a target, which may pause while it reads a request.
+/// What it has not read when the request is given up does not reach it later.
+///
+/// # Errors
+///
+/// As [`connect`].
+pub async fn connect_target(address: SocketAddr) -> io::Result<WatchedStream> {
+    let stream = connect(address).await?;
+    Ok(WatchedStream::new(stream, USER_TIMEOUT).with_reset_on_drop())
+}
+
 /// Accepts the next connection from a process of the fleet. Returns it with
 /// the peer's address.
 pub async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
--- a/crates/raildale/src/fleet/mod.rs
+++ b/crates/raildale/src/fleet/mod.rs
@@ -15,5 +15,8 @@
 pub mod edge;
 pub mod entry;
 pub mod frames;
+pub mod send_watch;
 pub mod settings;
 pub mod steady_clock;
+pub mod tcp_info;
+pub mod watched_stream;
