A caller may read nothing for longer than 15 s

Callers that read nothing of an answer for over 15 s lost its rest, although their machines acknowledged each probe. The answer was ready in time, and is delivered also late.

Cause: the same as of closed windows of targets; callers' connections had a longer user time-out, which only moved the pause at which it happens.

Callers' connections are sampled too. A pause may last 60 s, as the entry host holds the answer that long; before, nothing but those 15 s bounded it.

A connection whose peer never reads ends at its limit (silent_peers.rs).

--- a/crates/raildale/src/fleet/entry/callers.rs
+++ b/crates/raildale/src/fleet/entry/callers.rs
@@ -15,7 +15,7 @@
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use raildale_core::LogEvent;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 
 use super::{
     EntryHost, heads,
@@ -29,6 +29,7 @@
         edge::{Dialect, Store},
         frames,
         steady_clock::now_ms,
+        watched_stream::WatchedStream,
     },
 };
 
@@ -76,7 +77,7 @@
 
 async fn serve_caller<P>(
     host: Rc<EntryHost<P>>,
-    stream: TcpStream,
+    stream: WatchedStream,
     caller: SocketAddr,
 ) where
     P: Dialect + Store + 'static,
--- a/crates/raildale/src/fleet/frames.rs
+++ b/crates/raildale/src/fleet/frames.rs
@@ -22,11 +22,14 @@
 /// machine without power sends nothing.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// The same for callers' connections. The time also runs while a slow caller
-/// acknowledges everything and reads nothing, so it must exceed the pause of
-/// any caller that still wants its answer.
+/// The same for callers' connections: an answer that is ready should survive
+/// a longer outage of its caller's link.
 const CALLER_USER_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// How long a caller may read nothing of an answer, which the entry host holds
+/// for as long.
+const MAX_CALLER_PAUSE: Duration = Duration::from_secs(60);
+
 /// The idle time after which a peer is probed, and the time between probes:
 /// the shortest that the system accepts. The first unanswered probe after the
 /// connection's user time-out ends it.
@@ -137,10 +140,16 @@
     accept_with_timeout(listener, USER_TIMEOUT).await
 }
 
-/// Accepts the next connection from a caller. Returns it with the peer's
-/// address.
-pub async fn accept_caller(listener: &TcpListener) -> (TcpStream, SocketAddr) {
-    accept_with_timeout(listener, CALLER_USER_TIMEOUT).await
+/// Accepts the next connection from a caller, which may pause while it reads an
+/// answer. Returns it with the peer's address.
+pub async fn accept_caller(
+    listener: &TcpListener,
+) -> (WatchedStream, SocketAddr) {
+    let (stream, peer) =
+        accept_with_timeout(listener, CALLER_USER_TIMEOUT).await;
+    let stream = WatchedStream::new(stream, CALLER_USER_TIMEOUT)
+        .with_max_pause(MAX_CALLER_PAUSE);
+    (stream, peer)
 }
 
 async fn accept_with_timeout(
--- a/crates/raildale/src/fleet/watched_stream.rs
+++ b/crates/raildale/src/fleet/watched_stream.rs
@@ -28,6 +28,8 @@
     stream: TcpStream,
     /// The user time-out while the window is open.
     user_timeout: Duration,
+    /// How long the window may be closed.
+    max_pause: Duration,
     watch: SendWatch,
     /// Expires when the next sample is due.
     next_sample: Pin<Box<Sleep>>,
@@ -45,6 +47,7 @@
         WatchedStream {
             stream,
             user_timeout,
+            max_pause: Duration::MAX,
             watch: SendWatch::new(now_ms()),
             next_sample: Box::pin(tokio::time::sleep(SAMPLE_INTERVAL)),
             is_sampling: false,
@@ -53,6 +56,12 @@
         }
     }
 
+    /// Limits how long the peer may read nothing.
+    pub fn with_max_pause(mut self, max_pause: Duration) -> WatchedStream {
+        self.max_pause = max_pause;
+        self
+    }
+
     /// Resets the connection if it is dropped while the peer's window is
     /// closed. Otherwise the kernel keeps the bytes that wait, and delivers
     /// them if the peer reads on.
@@ -106,7 +115,8 @@
             SendState::Sending => self.restore_user_timeout(),
             SendState::WindowClosed(timeout) => {
                 self.is_extended = true;
-                self.set_user_timeout(timeout.max(self.user_timeout));
+                let timeout = timeout.max(self.user_timeout);
+                self.set_user_timeout(timeout.min(self.max_pause));
             }
             SendState::Silent => return Err(io::ErrorKind::TimedOut.into()),
         }
--- a/crates/raildale/tests/silent_peers.rs
+++ b/crates/raildale/tests/silent_peers.rs
@@ -86,6 +86,29 @@
     assert!(written.is_ok(), "{written:?}");
 }
 
+/// A caller that never reads does not hold its answer for ever.
+#[tokio::test]
+async fn a_pause_ends_at_its_limit() {
+    const MAX_PAUSE: Duration = Duration::from_secs(3);
+    let (stream, _peer) = connect_plain().await;
+    let mut stream = WatchedStream::new(stream, Duration::from_secs(1))
+        .with_max_pause(MAX_PAUSE);
+    let body = vec![b'x'; 24 << 20];
+    let ending = timeout(MAX_PAUSE + SLACK, stream.write_all(&body));
+    let ended = ending.await.expect("the connection ends");
+    let kind = ended.expect_err("nothing is read").kind();
+    assert_eq!(kind, io::ErrorKind::TimedOut);
+}
+
+async fn connect_plain() -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("a bound listener");
+    let (opened, accepted) =
+        tokio::join!(frames::connect(address), listener.accept());
+    let (peer, _) = accepted.expect("a connection");
+    (opened.expect("the connection opens"), peer)
+}
+
 async fn connect() -> (WatchedStream, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("a bound listener");
