A request that was given up does not arrive later

Cause: an attempt that is given up closes its connection, and the kernel goes on retransmitting what is not acknowledged. The request arrives whole when the link lets it, and its target may begin before it reads the connection's end.

Evidence: silent_peers.rs drops all segments at the peer's socket, sends, drops the connection and lets segments through again.

A connection to a target that is dropped with outstanding bytes is reset, so that the kernel discards them. One without ends as before; its end is repeated until it arrives, which a reset is not.

--- a/crates/raildale/src/fleet/frames.rs
+++ b/crates/raildale/src/fleet/frames.rs
@@ -124,14 +124,14 @@
 }
 
 /// Opens a connection to a target, which may pause while it reads a request.
-/// What it has not read when the request is given up does not reach it later.
+/// What has not reached it when the request is given up does not arrive later.
 ///
 /// # Errors
 ///
 /// As [`connect`].
 pub async fn connect_target(address: SocketAddr) -> io::Result<WatchedStream> {
     let stream = connect(address).await?;
-    Ok(WatchedStream::new(stream, USER_TIMEOUT).with_reset_on_drop())
+    Ok(WatchedStream::new(stream, USER_TIMEOUT).with_discard_on_drop())
 }
 
 /// Accepts the next connection from a process of the fleet. Returns it with
--- a/crates/raildale/src/fleet/watched_stream.rs
+++ b/crates/raildale/src/fleet/watched_stream.rs
@@ -37,8 +37,9 @@
     is_sampling: bool,
     /// Whether the peer's window is closed, and the user time-out longer.
     is_extended: bool,
-    /// Whether dropping the connection resets it while the window is closed.
-    resets_on_drop: bool,
+    /// Whether bytes that are outstanding when the connection is dropped are
+    /// discarded.
+    discards_on_drop: bool,
 }
 
 impl WatchedStream {
@@ -52,7 +53,7 @@
             next_sample: Box::pin(tokio::time::sleep(SAMPLE_INTERVAL)),
             is_sampling: false,
             is_extended: false,
-            resets_on_drop: false,
+            discards_on_drop: false,
         }
     }
 
@@ -62,11 +63,10 @@
         self
     }
 
-    /// Resets the connection if it is dropped while the peer's window is
-    /// closed. Otherwise the kernel keeps the bytes that wait, and delivers
-    /// them if the peer reads on.
-    pub fn with_reset_on_drop(mut self) -> WatchedStream {
-        self.resets_on_drop = true;
+    /// Resets the connection if it is dropped while bytes are outstanding.
+    /// Otherwise the kernel delivers them as soon as it can.
+    pub fn with_discard_on_drop(mut self) -> WatchedStream {
+        self.discards_on_drop = true;
         self
     }
 
@@ -123,6 +123,14 @@
         Ok(())
     }
 
+    fn has_outstanding_bytes(&self) -> bool {
+        if !self.is_sampling {
+            return false;
+        }
+        let info = TcpInfo::of(&self.stream);
+        info.is_ok_and(|info| info.send_sample().is_outstanding)
+    }
+
     fn restore_user_timeout(&mut self) {
         if self.is_extended {
             self.is_extended = false;
@@ -140,7 +148,7 @@
 
 impl Drop for WatchedStream {
     fn drop(&mut self) {
-        if !self.resets_on_drop || !self.is_extended {
+        if !self.discards_on_drop || !self.has_outstanding_bytes() {
             return;
         }
         let socket = SockRef::from(&self.stream);
--- a/crates/raildale/tests/silent_peers.rs
+++ b/crates/raildale/tests/silent_peers.rs
@@ -86,6 +86,40 @@
     assert!(written.is_ok(), "{written:?}");
 }
 
+/// How long a peer that can be reached again waits for bytes: several
+/// retransmissions.
+const LATE_BYTES_WAIT: Duration = Duration::from_secs(3);
+
+/// A request that was given up while its link lost everything began at its
+/// target when the link had recovered.
+#[tokio::test]
+async fn bytes_of_a_dropped_connection_do_not_arrive_later() {
+    let (mut stream, mut peer) = connect().await;
+    let filter = SockRef::from(&peer).attach_filter(&DROP_ALL);
+    filter.expect("a socket option");
+    stream.write_all(b"question").await.expect("it is buffered");
+    drop(stream);
+    let filter = SockRef::from(&peer).detach_filter();
+    filter.expect("a socket option");
+    let mut buffer = [0; 16];
+    let arriving = timeout(LATE_BYTES_WAIT, peer.read(&mut buffer));
+    if let Ok(Ok(length)) = arriving.await {
+        panic!("arrived: {:?}", &buffer[..length]);
+    }
+}
+
+/// A request that has reached its target is cancelled by the end of the
+/// connection, which is retransmitted until it arrives, unlike a reset.
+#[tokio::test]
+async fn a_connection_without_outstanding_bytes_is_closed_without_a_reset() {
+    let (mut stream, mut peer) = connect().await;
+    stream.write_all(b"question").await.expect("it is sent");
+    let mut buffer = [0; 8];
+    peer.read_exact(&mut buffer).await.expect("it arrives");
+    drop(stream);
+    assert_eq!(peer.read(&mut buffer).await.ok(), Some(0));
+}
+
 /// A caller that never reads does not hold its answer for ever.
 #[tokio::test]
 async fn a_pause_ends_at_its_limit() {
