Requests keep to their regions, and evacuated data centres get nothing

Cause: AllowedRegions of routes and organisations and the operator's evacuations were read by nobody.

Change: gateway/regions.rs and evacuations.rs; Targets::fits, which every attempt passes, asks both. A request that may be served nowhere is refused at once with code 3013. Callers whose HTTP host has a bound route are named entry hosts of their own region.

--- a/crates/raildale-core/src/catalog/mod.rs
+++ b/crates/raildale-core/src/catalog/mod.rs
@@ -24,18 +24,28 @@
     EntryHosts,
     /// Records of requests that end the targets that run them.
     Quarantine,
+    /// The data centres that the operator evacuates. Only used where the
+    /// settings say that there may be any.
+    Evacuations,
 }
 
 impl Kind {
     /// Every kind, in the order of its number.
-    pub const ALL: [Kind; 5] = [
+    pub const ALL: [Kind; 6] = [
         Kind::Configuration,
         Kind::Targets,
         Kind::Versions,
         Kind::EntryHosts,
         Kind::Quarantine,
+        Kind::Evacuations,
     ];
 
+    /// Returns the kinds in use, in the order of their numbers.
+    pub fn in_use(has_evacuations: bool) -> &'static [Kind] {
+        let count = Kind::ALL.len() - usize::from(!has_evacuations);
+        &Kind::ALL[..count]
+    }
+
     /// Returns the number that messages carry.
     pub fn number(self) -> u32 {
         self as u32
--- a/crates/raildale-core/src/code.rs
+++ b/crates/raildale-core/src/code.rs
@@ -91,6 +91,7 @@
     HostLeaving = 3010, 503, NotRun, "this entry host is about to stop; ask another";
     TargetRefused = 3011, 502, NotRun, "the target refused before it started";
     Quarantined = 3012, 503, NotRun, "requests like this one ended the targets that ran them; this try was sent to none";
+    NoAllowedTarget = 3013, 503, NotRun, "no target that this request may use takes requests now";
     Unknown = 4000, 504, Unknown, "the outcome is unknown; ask again with the run key";
     Cut = 4001, 502, Unknown, "the answer was cut; what was sent is not whole";
     Cancelled = 4002, 499, Unknown, "cancelled; the request may have run in part";
--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -5,6 +5,7 @@
 use super::{
     decaying_sum::DecayingSum,
     quarantine::{Permission, Quarantine},
+    regions::{Regions, Residency},
     request::{
         ANSWER_MARGIN_MS, Admission, Dispatch, MIN_RETRY_AFTER_MS, Next,
         Obstacle, QueueKind, Refusal, RequestHead, refusal,
@@ -16,7 +17,7 @@
     target_end::TargetEnd,
     targets::{Need, Targets, VersionBound},
     versions::NamedVersion,
-    waiting::{TargetAvailability, WaitDecision, WaitQueues},
+    waiting::{TargetAvailability, WaitDecision, WaitQueues, max_retry_ms},
 };
 use crate::{Code, Name};
 
@@ -30,6 +31,9 @@
     /// Milliseconds from the naming of a version until no older version may
     /// start work; 0 disables the bound.
     pub version_ms: u64,
+    /// The regions of the data centres; empty if requests are not bound to
+    /// regions.
+    pub regions: Regions,
 }
 
 /// An entry host's state and decisions for requests to targets.
@@ -111,6 +115,11 @@
         self.routing.as_ref()
     }
 
+    /// Returns the regions of the data centres.
+    pub fn regions(&self) -> &Regions {
+        &self.config.regions
+    }
+
     /// Puts a configuration in force and returns whether it was newer than the
     /// current one; an older one is ignored.
     pub fn set_routing(&mut self, routing: Routing) -> bool {
@@ -245,6 +254,9 @@
         let min_version =
             model.map_or(0, |model| self.min_version(now_ms, model, 0));
         let need = self.need(now_ms, request, &bounds);
+        if let Some(obstacle) = self.targets.place_obstacle(need) {
+            return self.refuse_displaced(request, obstacle);
+        }
         let is_late = need.is_late;
         let picked = match self.wait_queues.is_next(now_ms, request) {
             true => self.targets.pick(now_ms, need, draw),
@@ -348,9 +360,31 @@
             bounds,
             needs_weights: engine.is_some_and(|e| e.layer_count > 0),
             tried: &request.tried,
+            regions: &self.config.regions,
+            residency: Residency {
+                route: &request.route.regions,
+                organisation: request
+                    .organisation
+                    .as_ref()
+                    .map_or(&[], |organisation| &organisation.regions),
+            },
         }
     }
 
+    /// Returns the refusal of a request that may not use any target because
+    /// of where the targets are. It gains nothing from waiting, and when that
+    /// changes is not known.
+    fn refuse_displaced(
+        &self,
+        request: &Admission,
+        obstacle: Obstacle,
+    ) -> Next {
+        let mut refusal = self.give_up(request, Code::NoAllowedTarget);
+        refusal.retry_after_ms =
+            refusal.retry_after_ms.map(|_| max_retry_ms(request));
+        Next::Refuse(refusal.with_obstacle(obstacle))
+    }
+
     /// Returns whether a target that has not had a request before could take
     /// it now.
     pub(super) fn has_room_elsewhere(
--- a/crates/raildale-core/src/gateway/mod.rs
+++ b/crates/raildale-core/src/gateway/mod.rs
@@ -8,6 +8,8 @@
 //! * [`routes`]: services, routes and keys of the configuration.
 //! * [`targets`]: the known targets and the choice among them.
 //! * [`target`]: load and health of one target.
+//! * [`regions`]: the regions in which requests may be served.
+//! * [`evacuations`]: data centres whose targets must get nothing.
 //! * [`shares`]: the part of each target's slots that this entry host owns.
 //! * [`lapse`]: targets that left the list during a store outage.
 //! * [`decaying_sum`]: exponentially decaying means and rates.
@@ -25,12 +27,14 @@
 
 pub mod admission;
 pub mod decaying_sum;
+pub mod evacuations;
 pub mod event_stream;
 pub mod fingerprint;
 pub mod lapse;
 pub mod notices;
 pub mod outcomes;
 pub mod quarantine;
+pub mod regions;
 pub mod request;
 pub mod retry_budget;
 pub mod routes;
--- a/crates/raildale-core/src/gateway/request.rs
+++ b/crates/raildale-core/src/gateway/request.rs
@@ -143,6 +143,10 @@
     Budget,
     /// No target takes it.
     Targets,
+    /// No target is in a region in which it may be served.
+    Region,
+    /// All targets that it may use are in evacuated data centres.
+    Evacuation,
     /// Requests with its fingerprint crashed their targets.
     Quarantine,
     /// The entry host doesn't take it, or its last attempt failed.
--- a/crates/raildale-core/src/gateway/routes.rs
+++ b/crates/raildale-core/src/gateway/routes.rs
@@ -58,6 +58,8 @@
     pub is_public: bool,
     /// Whether a broken stream may be resumed at another target.
     pub is_resumable: bool,
+    /// The regions in which its requests may be served; any if empty.
+    pub regions: Vec<Name>,
 }
 
 impl Route {
@@ -146,6 +148,8 @@
     pub name: Name,
     /// Overrides the route's priority if set.
     pub priority: Option<u8>,
+    /// The regions in which its requests may be served; any if empty.
+    pub regions: Vec<Name>,
 }
 
 /// Limits on the size and duration of callers' requests.
@@ -249,6 +253,17 @@
         Ok((route.clone(), organisation))
     }
 
+    /// Returns the regions to which a route of an HTTP host limits its
+    /// requests; empty if none does.
+    pub fn bound_regions(&self, host: &str) -> Vec<Name> {
+        let routes = self.routes.get(host).into_iter().flatten();
+        let mut regions: Vec<Name> =
+            routes.flat_map(|route| route.regions.iter().cloned()).collect();
+        regions.sort_unstable();
+        regions.dedup();
+        regions
+    }
+
     /// Returns a service by name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
--- a/crates/raildale-core/src/gateway/targets/mod.rs
+++ b/crates/raildale-core/src/gateway/targets/mod.rs
@@ -13,7 +13,10 @@
 
 use self::departed::Departed;
 use super::{
+    evacuations::Evacuations,
     notices::Notices,
+    regions::{Regions, Residency},
+    request::Obstacle,
     routes::{EngineSpec, Service},
     shares::{Parts, Shares},
     target::{Outcome, Target, TargetReport, TargetSpec},
@@ -37,6 +40,8 @@
     parts: HashMap<Name, Parts>,
     /// The notices of targets.
     pub notices: Notices,
+    /// Data centres whose targets must get nothing.
+    pub evacuations: Evacuations,
     /// Starts that have left the list.
     pub departed: Departed,
     /// When this entry host's own slots were last computed, by service.
@@ -67,6 +72,10 @@
     pub is_late: bool,
     /// The ids of the targets that had the request before.
     pub tried: &'a [Name],
+    /// The regions of the data centres.
+    pub regions: &'a Regions,
+    /// The regions in which the request may be served.
+    pub residency: Residency<'a>,
 }
 
 /// A version, and the time left until nothing older may start.
@@ -449,9 +458,32 @@
             !need.needs_weights || is_new_enough(target, now_ms, need.bounds);
         self.is_open(target, now_ms)
             && is_new
+            && is_resident(target, need)
             && !need.tried.contains(&target.spec.id)
     }
 
+    /// Returns why the places of a service's targets keep a request from all
+    /// of them; `None` if some may serve it, or the service has none.
+    pub fn place_obstacle(&self, need: Need<'_>) -> Option<Obstacle> {
+        let mut is_any_resident = false;
+        let mut is_any_known = false;
+        for target in self.of_service(need.service) {
+            is_any_known = true;
+            if !is_resident(target, need) {
+                continue;
+            }
+            is_any_resident = true;
+            if !self.evacuations.is_evacuated(&target.spec.data_centre) {
+                return None;
+            }
+        }
+        match (is_any_known, is_any_resident) {
+            (false, _) => None,
+            (true, false) => Some(Obstacle::Region),
+            (true, true) => Some(Obstacle::Evacuation),
+        }
+    }
+
     /// Returns a sample of the candidates, starting at a random one and large
     /// enough for about [`MAX_HOSTS_PER_TARGET`] entry hosts to consider each.
     fn considered<'a>(
@@ -515,6 +547,11 @@
     }
 }
 
+/// Returns whether a target is in a region in which a request may be served.
+fn is_resident(target: &Target, need: Need<'_>) -> bool {
+    need.residency.allows(need.regions, &target.spec.data_centre)
+}
+
 /// Returns the usual time of a service's request at a full target, in
 /// milliseconds.
 fn run_ms(service: &Service) -> f64 {
--- a/crates/raildale-core/src/gateway/targets/notice_limits.rs
+++ b/crates/raildale-core/src/gateway/targets/notice_limits.rs
@@ -65,7 +65,9 @@
     /// whatever the list says: the store may be cut off from the target until
     /// it has left.
     pub(super) fn is_open(&self, target: &Target, now_ms: u64) -> bool {
-        target.is_open(now_ms) && !self.notices.is_leaving(target.start)
+        target.is_open(now_ms)
+            && !self.notices.is_leaving(target.start)
+            && !self.evacuations.is_evacuated(&target.spec.data_centre)
     }
 
     /// Returns whether a service has targets and all of them are leaving.
--- a/crates/raildale-core/src/gateway/waiting.rs
+++ b/crates/raildale-core/src/gateway/waiting.rs
@@ -406,7 +406,11 @@
 /// Limits a retry time to one that the caller will heed: at most a third of
 /// its total time, and at least [`MIN_RETRY_AFTER_MS`].
 fn capped_retry_ms(request: &Admission, ms: u64) -> u64 {
+    ms.clamp(MIN_RETRY_AFTER_MS, max_retry_ms(request))
+}
+
+/// Returns the longest retry time that a request's caller heeds.
+pub(super) fn max_retry_ms(request: &Admission) -> u64 {
     let total_ms = request.due_ms.saturating_sub(request.arrived_ms);
-    let max_ms = (total_ms / 3).max(MIN_RETRY_AFTER_MS);
-    ms.clamp(MIN_RETRY_AFTER_MS, max_ms)
+    (total_ms / 3).max(MIN_RETRY_AFTER_MS)
 }
--- a/crates/raildale-core/src/members/mod.rs
+++ b/crates/raildale-core/src/members/mod.rs
@@ -13,7 +13,7 @@
 use crate::{
     Name,
     catalog::{Extent, Kind, Stamp},
-    gateway::shares::Sender,
+    gateway::{regions::Regions, shares::Sender},
 };
 
 /// The entry of an entry host in the store.
@@ -43,6 +43,15 @@
     pub demand_per_s: f64,
 }
 
+/// The regions to which a caller's requests are bound.
+#[derive(Clone, Copy, Debug)]
+pub struct BoundRegions<'a> {
+    /// The region of each data centre.
+    pub regions: &'a Regions,
+    /// The regions in which the requests may be served.
+    pub allowed: &'a [Name],
+}
+
 /// The state of another entry host.
 #[derive(Debug)]
 struct Member {
@@ -300,16 +309,34 @@
         draw: usize,
     ) -> Vec<IpAddr> {
         let open = self.open_entries(now_ms, is_own_open);
-        let fair_share = fair_share(&open);
-        let (local, remote): (Vec<_>, Vec<_>) =
-            open.into_iter().partition(|e| &*e.data_centre == data_centre);
-        let missing = fair_share.saturating_sub(local.len());
-        let helpers = helpers(remote, missing, draw);
-        local
-            .into_iter()
-            .chain(helpers.into_iter().take(missing))
-            .map(|entry| entry.ip)
-            .collect()
+        share_addresses(open, data_centre, draw)
+    }
+
+    /// Returns the addresses for callers in a data centre whose requests are
+    /// bound to regions: entry hosts in the caller's own region or, while none
+    /// is open there, in one of `bound`. If those have none either, all may
+    /// serve.
+    pub fn addresses_in_regions(
+        &self,
+        now_ms: u64,
+        data_centre: &str,
+        is_own_open: bool,
+        draw: usize,
+        bound: BoundRegions<'_>,
+    ) -> Vec<IpAddr> {
+        let BoundRegions { regions, allowed } = bound;
+        let open = self.open_entries(now_ms, is_own_open);
+        let own_region = regions.region(data_centre).cloned();
+        let own_region: Vec<Name> = own_region.into_iter().collect();
+        let within = |allowed: &[Name]| -> Vec<&MemberEntry> {
+            let is_in = |entry: &&&MemberEntry| {
+                regions.is_in(&entry.data_centre, allowed)
+            };
+            open.iter().filter(is_in).copied().collect()
+        };
+        let candidates = [within(&own_region), within(allowed), open.clone()];
+        let first = candidates.into_iter().find(|found| !found.is_empty());
+        share_addresses(first.unwrap_or_default(), data_centre, draw)
     }
 
     /// Returns the entry hosts that accept callers, by address. This one is
@@ -385,6 +412,25 @@
     }
 }
 
+/// Returns the addresses of `open` entry hosts for callers in a data centre:
+/// those there, and others up to an even share.
+fn share_addresses(
+    open: Vec<&MemberEntry>,
+    data_centre: &str,
+    draw: usize,
+) -> Vec<IpAddr> {
+    let fair_share = fair_share(&open);
+    let (local, remote): (Vec<_>, Vec<_>) =
+        open.into_iter().partition(|e| &*e.data_centre == data_centre);
+    let missing = fair_share.saturating_sub(local.len());
+    let helpers = helpers(remote, missing, draw);
+    local
+        .into_iter()
+        .chain(helpers.into_iter().take(missing))
+        .map(|entry| entry.ip)
+        .collect()
+}
+
 /// Returns the number of entry hosts for each data centre's callers if all
 /// were shared evenly.
 fn fair_share(open: &[&MemberEntry]) -> usize {
--- a/crates/raildale-core/tests/free_slots.rs
+++ b/crates/raildale-core/tests/free_slots.rs
@@ -7,7 +7,7 @@
     catalog::Stamp,
     gateway::{
         Gateway, GatewayConfig, RequestHead, Route, RouteKind, Routing,
-        Service, TargetReport, TargetSpec, request::Next,
+        Service, TargetReport, TargetSpec, regions::Regions, request::Next,
         retry_budget::RetryBound, routes::EngineSpec, shares::Sender,
     },
 };
@@ -34,6 +34,7 @@
         max_attempts: 2,
         is_public: false,
         is_resumable: true,
+        regions: Vec::new(),
     };
     let engine = EngineSpec {
         slots: SLOTS,
@@ -66,6 +67,7 @@
         data_centre: centre(own),
         retries: RetryBound { ratio: 0.2, extra: 100.0 },
         version_ms: 0,
+        regions: Regions::new(),
     });
     gateway.set_routing(routing());
     gateway.set_entry_hosts(senders.to_vec(), own);
--- a/crates/raildale-core/tests/gateway.rs
+++ b/crates/raildale-core/tests/gateway.rs
@@ -9,6 +9,7 @@
         Admission, Fingerprint, Gateway, GatewayConfig, Outcome, RequestHead,
         Route, RouteKind, Routing, Service, TargetReport, TargetSpec,
         lapse::{Lapse, StoreView},
+        regions::Regions,
         request::Next,
         retry_budget::RetryBound,
         routes::{EngineSpec, NoRoute, Organisation},
@@ -35,6 +36,7 @@
         max_attempts: 2,
         is_public: false,
         is_resumable: kind == RouteKind::Streaming,
+        regions: Vec::new(),
     }
 }
 
@@ -58,7 +60,11 @@
 }
 
 fn routing() -> Routing {
-    let organisation = Organisation { name: "club".into(), priority: None };
+    let organisation = Organisation {
+        name: "club".into(),
+        priority: None,
+        regions: Vec::new(),
+    };
     Routing::new(7)
         .with_route(route("a", "/", "plain", RouteKind::Idempotent))
         .with_route(route("a", "/deep/", "model", RouteKind::Streaming))
@@ -106,6 +112,7 @@
         data_centre: "here".into(),
         retries: RetryBound { ratio: 0.2, extra: 100.0 },
         version_ms: VERSION_MS,
+        regions: Regions::new(),
     });
     assert!(gateway.set_routing(routing()));
     gateway
--- a/crates/raildale-core/tests/members.rs
+++ b/crates/raildale-core/tests/members.rs
@@ -5,7 +5,8 @@
 use raildale_core::{
     Name,
     catalog::{Extent, Kind, Stamp},
-    members::{Heartbeat, MemberEntry, Members, SILENT_MS},
+    gateway::regions::Regions,
+    members::{BoundRegions, Heartbeat, MemberEntry, Members, SILENT_MS},
 };
 
 const START_MS: u64 = 1_000_000;
@@ -57,6 +58,34 @@
     assert!(crowded[1] <= 3, "from the largest data centre: {crowded:?}");
 }
 
+/// Callers whose requests are bound to regions are named no entry host
+/// elsewhere while their own region, or an allowed one, has any.
+#[test]
+fn bound_callers_stay_in_their_region() {
+    let members = members();
+    let regions = Regions::new()
+        .with_data_centre("a".into(), "west".into())
+        .with_data_centre("b".into(), "east".into())
+        .with_data_centre("c".into(), "east".into());
+    let addresses = |centre: &str, allowed: &[&str]| -> Vec<String> {
+        let allowed: Vec<Name> =
+            allowed.iter().map(|name| Name::from(*name)).collect();
+        let bound = BoundRegions { regions: &regions, allowed: &allowed };
+        members
+            .addresses_in_regions(START_MS, centre, true, 0, bound)
+            .iter()
+            .map(|ip| ip.to_string())
+            .collect()
+    };
+    assert_eq!(addresses("c", &["west"]), ["10.0.0.6", "10.0.0.4"]);
+    let eastern = addresses("elsewhere", &["east"]);
+    assert!(!eastern.is_empty());
+    for address in eastern {
+        assert!(address.as_str() > "10.0.0.3", "{address} is in the west");
+    }
+    assert!(!addresses("elsewhere", &["nowhere"]).is_empty());
+}
+
 #[test]
 fn silent_leaving_and_unready_hosts_are_excluded() {
     let mut members = members();
--- a/crates/raildale-core/tests/notices_world/mod.rs
+++ b/crates/raildale-core/tests/notices_world/mod.rs
@@ -16,8 +16,8 @@
     gateway::{
         Admission, Gateway, GatewayConfig, Outcome, RequestHead, Route,
         RouteKind, Routing, Service, TargetNotice, TargetReport, TargetSpec,
-        request::Next, retry_budget::RetryBound, routes::EngineSpec,
-        shares::Sender, target_end::StartId,
+        regions::Regions, request::Next, retry_budget::RetryBound,
+        routes::EngineSpec, shares::Sender, target_end::StartId,
     },
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -63,6 +63,7 @@
         max_attempts: 3,
         is_public: false,
         is_resumable: true,
+        regions: Vec::new(),
     };
     let engine = EngineSpec {
         slots: SLOTS,
@@ -490,6 +491,7 @@
         data_centre: centre(own),
         retries: RetryBound { ratio: 0.2, extra: 1_000.0 },
         version_ms: 0,
+        regions: Regions::new(),
     });
     gateway.set_routing(routing());
     gateway.set_entry_hosts(senders.to_vec(), own);
--- a/crates/raildale-core/tests/target_leaving.rs
+++ b/crates/raildale-core/tests/target_leaving.rs
@@ -19,8 +19,8 @@
     gateway::{
         Admission, Gateway, GatewayConfig, Outcome, RequestHead, Route,
         RouteKind, Routing, Service, TargetNotice, TargetReport, TargetSpec,
-        request::Next, retry_budget::RetryBound, routes::EngineSpec,
-        target_end::StartId,
+        regions::Regions, request::Next, retry_budget::RetryBound,
+        routes::EngineSpec, target_end::StartId,
     },
 };
 use yare::parameterized;
@@ -45,6 +45,7 @@
         max_attempts: 3,
         is_public: false,
         is_resumable: kind == RouteKind::Streaming,
+        regions: Vec::new(),
     };
     let engine = EngineSpec {
         slots: 4,
@@ -58,6 +59,7 @@
         data_centre: "here".into(),
         retries: RetryBound { ratio: 0.2, extra: 100.0 },
         version_ms: 0,
+        regions: Regions::new(),
     });
     gateway.set_routing(
         Routing::new(1)
--- a/crates/raildale-testkit/src/load/world.rs
+++ b/crates/raildale-testkit/src/load/world.rs
@@ -13,6 +13,7 @@
         Admission, Gateway, GatewayConfig, Outcome, RequestHead, Route,
         RouteKind, Routing, Service, TargetReport, TargetSpec,
         lapse::{Lapse, RELIST_TIMEOUT_MS, StoreView},
+        regions::Regions,
         request::{Dispatch, Next},
         retry_budget::RetryBound,
         routes::EngineSpec,
@@ -735,6 +736,7 @@
         data_centre: data_centre_name(data_centre),
         retries: RetryBound { ratio: 0.2, extra: 100.0 },
         version_ms: 0,
+        regions: Regions::new(),
     });
     gateway.set_routing(routing(pattern));
     for (index, target) in targets.iter().enumerate() {
@@ -798,6 +800,7 @@
         max_attempts: 2,
         is_public: false,
         is_resumable: true,
+        regions: Vec::new(),
     });
     let empty = Routing::new(1).with_service(service);
     routes.fold(empty, |routing, route| routing.with_route(route))
--- a/crates/raildale/src/fleet/edge.rs
+++ b/crates/raildale/src/fleet/edge.rs
@@ -146,6 +146,8 @@
 pub struct AddressQuery {
     /// The data centre of the caller.
     pub data_centre: Name,
+    /// The HTTP host for whose requests the addresses are.
+    pub host: Name,
 }
 
 /// The platform's headers and encodings.
--- a/crates/raildale/src/fleet/entry/callers.rs
+++ b/crates/raildale/src/fleet/entry/callers.rs
@@ -1,7 +1,11 @@
 //! The ports that callers use: requests, readiness, and the list of addresses.
 
 use std::{
-    cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration,
+    cell::Cell,
+    convert::Infallible,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -14,7 +18,7 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use raildale_core::LogEvent;
+use raildale_core::{LogEvent, members::BoundRegions};
 use tokio::net::TcpListener;
 
 use super::{
@@ -26,7 +30,7 @@
 use crate::{
     error::Error,
     fleet::{
-        edge::{Dialect, Store},
+        edge::{AddressQuery, Dialect, Store},
         frames,
         steady_clock::now_ms,
         watched_stream::WatchedStream,
@@ -223,9 +227,7 @@
     };
     let draw = rand::random_range(0..usize::from(u16::MAX));
     let addresses: Vec<SocketAddr> = host
-        .members
-        .borrow()
-        .addresses_for(now_ms(), &query.data_centre, host.is_ready(), draw)
+        .addresses(&query, draw)
         .into_iter()
         .map(|ip| host.callers_address(ip))
         .collect();
@@ -236,6 +238,33 @@
     response
 }
 
+impl<P: Dialect + Store + 'static> EntryHost<P> {
+    /// Returns the entry hosts for a caller. `draw` rotates those that are
+    /// not in the caller's data centre.
+    fn addresses(&self, query: &AddressQuery, draw: usize) -> Vec<IpAddr> {
+        let AddressQuery { data_centre, host } = query;
+        let gateway = self.gateway.borrow();
+        let routing = gateway.routing();
+        let allowed = routing.map(|routing| routing.bound_regions(host));
+        let members = self.members.borrow();
+        let (now, is_open) = (now_ms(), self.is_ready());
+        match allowed.filter(|allowed| !allowed.is_empty()) {
+            None => members.addresses_for(now, data_centre, is_open, draw),
+            Some(allowed) => {
+                let regions = gateway.regions();
+                let bound = BoundRegions { regions, allowed: &allowed };
+                members.addresses_in_regions(
+                    now,
+                    data_centre,
+                    is_open,
+                    draw,
+                    bound,
+                )
+            }
+        }
+    }
+}
+
 /// Returns a body that consists of `body`.
 pub fn full_body(body: Bytes) -> AnswerBody {
     Box::pin(Full::new(body).map_err(|never| match never {}))
--- a/crates/raildale/src/fleet/entry/host/changes.rs
+++ b/crates/raildale/src/fleet/entry/host/changes.rs
@@ -178,6 +178,7 @@
     /// expired state.
     pub fn sweep(&self) {
         self.sweep_departed();
+        self.sweep_evacuations();
         let now = now_ms();
         let store = StoreView {
             is_watcher: self.members.borrow().is_watcher(now),
@@ -240,11 +241,22 @@
                 (Kind::Quarantine, Change::Deleted(name)) => {
                     self.remove_record(&name);
                 }
+                (Kind::Evacuations, Change::Put(object)) => {
+                    self.begin_evacuation(object.name);
+                }
+                (Kind::Evacuations, Change::Deleted(name)) => {
+                    self.end_evacuation(&name);
+                }
+                (Kind::Evacuations, Change::Lost(name)) => {
+                    self.record_lost_evacuation(&name);
+                }
                 _ => {}
             }
         }
-        if kind == Kind::EntryHosts {
-            self.apply_members();
+        match kind {
+            Kind::EntryHosts => self.apply_members(),
+            Kind::Evacuations => self.record_evacuations_known(),
+            _ => {}
         }
     }
 
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! * [`store_mirror`]: the local copy of the store, by kind of object.
 //! * `changes`: applies the store's changes to routing and members.
+//! * `evacuations`: data centres that the operator evacuates.
 //! * `notices`: what targets announce in their answers.
 //! * `restores`: detection of restores of the store from an older copy.
 //! * `suspects`: losses and records of requests that end their targets.
 
 mod changes;
+mod evacuations;
 mod notices;
 mod restores;
 pub mod store_mirror;
@@ -24,8 +26,8 @@
     LogEvent, Name,
     catalog::{Kind, Stamp},
     gateway::{
-        Fingerprint, Gateway, GatewayConfig, retry_budget::RetryBound,
-        routes::Limits,
+        Fingerprint, Gateway, GatewayConfig, evacuations::Evacuations,
+        retry_budget::RetryBound, routes::Limits,
     },
     members::{MemberEntry, Members},
 };
@@ -111,6 +113,8 @@
     /// The time from the signal to stop until the process is killed, in
     /// milliseconds.
     grace_ms: u64,
+    /// Whether the operator may evacuate data centres.
+    has_evacuations: bool,
     name: Name,
 }
 
@@ -176,8 +180,13 @@
                 extra: bounds.retry_extra,
             },
             version_ms: bounds.version_ms,
+            regions: file.regions(),
         });
         gateway.targets.set_fleet_known(false);
+        let has_evacuations = bounds.evacuate_ms > 0;
+        if has_evacuations {
+            gateway.targets.evacuations = Evacuations::pending();
+        }
         Ok(EntryHost {
             platform,
             listen,
@@ -206,11 +215,17 @@
             store_era: Cell::new(None),
             older_answers: RefCell::default(),
             grace_ms: (bounds.grace_s * 1e3) as u64,
+            has_evacuations,
             name: Name::from(node.name.as_str()),
             node,
         })
     }
 
+    /// Returns the kinds of object that this fleet uses.
+    pub fn kinds(&self) -> &'static [Kind] {
+        Kind::in_use(self.has_evacuations)
+    }
+
     /// Logs a numbered event.
     pub fn log(&self, event: LogEvent, detail: &str) {
         logs::event(&self.name, event, detail);
@@ -248,7 +263,9 @@
     pub fn is_ready(&self) -> bool {
         let knows_targets = self.store_mirror.is_known(Kind::Targets);
         let has_routing = self.gateway.borrow().routing().is_some();
-        knows_targets && has_routing && !self.is_leaving()
+        let knows_evacuations = !self.has_evacuations
+            || self.store_mirror.is_known(Kind::Evacuations);
+        knows_targets && knows_evacuations && has_routing && !self.is_leaving()
     }
 
     /// Whether this entry host should read a kind from the store itself. After
--- a/crates/raildale/src/fleet/entry/host/restores.rs
+++ b/crates/raildale/src/fleet/entry/host/restores.rs
@@ -151,7 +151,7 @@
                 let named = self.platform.named_weights(&object.body).ok()?;
                 Some(Progress { subject: 0, level: named.version })
             }
-            Kind::EntryHosts | Kind::Quarantine => None,
+            Kind::EntryHosts | Kind::Quarantine | Kind::Evacuations => None,
         }
     }
 }
--- a/crates/raildale/src/fleet/entry/peers.rs
+++ b/crates/raildale/src/fleet/entry/peers.rs
@@ -10,7 +10,7 @@
 
 use raildale_core::{
     LogEvent, Name,
-    catalog::Kind,
+    catalog::{Extent, Kind},
     fleet_message::{Hello, ModelVersionAge, Note, Report},
     members::{Heartbeat, MemberEntry},
 };
@@ -297,7 +297,9 @@
 {
     let now = now_ms();
     let versions_heard_ms = host.gateway.borrow().versions_heard_ms();
-    let extents = Kind::ALL.map(|kind| host.store_mirror.extent(kind));
+    let kinds = host.kinds().iter();
+    let extents: Vec<Extent> =
+        kinds.map(|kind| host.store_mirror.extent(*kind)).collect();
     let hello = Hello {
         name: host.node.name.clone(),
         data_centre: host.node.data_centre.clone(),
@@ -338,7 +340,7 @@
 where
     P: Dialect + Store + 'static,
 {
-    for kind in Kind::ALL {
+    for &kind in host.kinds() {
         if host.is_fetching(kind) || !host.may_ask_peers(kind) {
             continue;
         }
--- a/crates/raildale/src/fleet/entry/snapshots/mod.rs
+++ b/crates/raildale/src/fleet/entry/snapshots/mod.rs
@@ -121,7 +121,8 @@
         Kind::Configuration
         | Kind::Versions
         | Kind::EntryHosts
-        | Kind::Quarantine => (vec![], vec![]),
+        | Kind::Quarantine
+        | Kind::Evacuations => (vec![], vec![]),
     };
     let snapshot = host.store_mirror.snapshot(kind);
     let Stamp { era, revision } = snapshot.stamp;
--- a/crates/raildale/src/fleet/entry/store_watch.rs
+++ b/crates/raildale/src/fleet/entry/store_watch.rs
@@ -72,8 +72,8 @@
 where
     P: Dialect + Store + 'static,
 {
-    for kind in Kind::ALL {
-        tokio::task::spawn_local(watch(host.clone(), kind));
+    for kind in host.kinds() {
+        tokio::task::spawn_local(watch(host.clone(), *kind));
     }
     tokio::task::spawn_local(register(host.clone()));
 }
--- a/crates/raildale/src/fleet/settings.rs
+++ b/crates/raildale/src/fleet/settings.rs
@@ -4,10 +4,12 @@
 //! templates that may be newer than the program.
 
 use std::{
+    collections::BTreeMap,
     net::{IpAddr, SocketAddr},
     path::Path,
 };
 
+use raildale_core::{Name, gateway::regions::Regions};
 use serde::Deserialize;
 
 use crate::{
@@ -30,6 +32,10 @@
     pub machine: MachineSettings,
     /// Bounds that the platform's users set.
     pub bounds: BoundSettings,
+    /// The region of each data centre; empty if requests are not bound to
+    /// regions.
+    #[serde(default)]
+    pub regions: BTreeMap<String, String>,
 }
 
 /// The settings of every process.
@@ -102,6 +108,10 @@
     /// milliseconds; 0 if there is no such bound.
     #[serde(default)]
     pub version_ms: u64,
+    /// The time from an evacuation of a data centre until its targets must
+    /// get nothing more, in milliseconds; 0 if there are no evacuations.
+    #[serde(default)]
+    pub evacuate_ms: u64,
     /// The maximum time that callers may cache the list of addresses, in
     /// seconds.
     #[serde(default = "default_ttl_max_s")]
@@ -164,6 +174,15 @@
         Ok(())
     }
 
+    /// Returns the region of each data centre.
+    pub fn regions(&self) -> Regions {
+        let name = |text: &String| Name::from(text.as_str());
+        let centres = self.regions.iter();
+        centres.fold(Regions::new(), |regions, (centre, region)| {
+            regions.with_data_centre(name(centre), name(region))
+        })
+    }
+
     /// Returns the rate of the machine's link, in bytes per second.
     pub fn link_bytes_per_s(&self) -> f64 {
         self.machine.link_mbps * BITS_PER_MEGABIT / 8.0
