Requests wait in the order of their organisation's and route's rank

Cause: priorities of routes and organisations were read by nobody.

Change: gateway/ranks.rs. Where the streams of a service have different priorities, an organisation's priority, then the route's, goes before the goal in both queues; every eighth request is taken regardless of ranks, so that nobody starves. Elsewhere all requests have one rank.

--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -5,6 +5,7 @@
 use super::{
     decaying_sum::DecayingSum,
     quarantine::{Permission, Quarantine},
+    ranks::Rank,
     regions::{Regions, Residency},
     request::{
         ANSWER_MARGIN_MS, Admission, Dispatch, MIN_RETRY_AFTER_MS, Next,
@@ -137,10 +138,15 @@
     /// `hosts` must be in the same order on all of them; `own` is this host's
     /// index.
     pub fn set_entry_hosts(&mut self, hosts: Vec<Sender>, own: usize) {
-        self.entry_hosts = hosts.len().max(1);
+        self.set_shares(Shares::new(hosts, own));
+    }
+
+    /// Sets the entry hosts that are alive and their shares.
+    pub fn set_shares(&mut self, shares: Shares) {
+        let host_count = shares.count().max(1);
+        self.quarantine.set_place(shares.own_index(), host_count);
+        self.entry_hosts = shares.competitor_count().max(1);
         let others = (self.entry_hosts - 1) as f64;
-        self.quarantine.set_place(own, self.entry_hosts);
-        let shares = Shares::new(hosts, own);
         self.targets.set_senders(1.0 + others * COMPETING_SHARE, shares);
     }
 
@@ -153,6 +159,22 @@
         self.targets.set_silent_senders(silent);
     }
 
+    /// Returns the slots of the targets that run a model, in one data centre
+    /// or in all.
+    pub fn model_slots(&self, data_centre: Option<&str>) -> f64 {
+        let runs_model = |service: &str| {
+            let routing = self.routing.as_ref();
+            let service = routing.and_then(|r| r.service(service));
+            service.is_some_and(|service| service.engine.is_some())
+        };
+        let is_there = |target: &&Target| {
+            data_centre.is_none_or(|name| *target.spec.data_centre == *name)
+        };
+        let targets = self.targets.iter().filter(is_there);
+        let targets = targets.filter(|t| runs_model(&t.spec.service));
+        targets.map(|target| f64::from(target.spec.slots)).sum()
+    }
+
     /// Returns the recent rate of incoming requests per second: this entry
     /// host's demand for targets.
     pub fn demand_per_s(&self, now_ms: u64) -> f64 {
@@ -184,6 +206,8 @@
             .and_then(|name| routing.service(name))
             .cloned()
             .ok_or(refusal(Code::NoTarget))?;
+        let rank =
+            Rank::of(&routing, &service, &route, organisation.as_deref());
         let left_ms = head.deadline_ms.unwrap_or(route.timeout_ms);
         let held_ms = left_ms.min(route.timeout_ms);
         let host_count = self.known_entry_hosts;
@@ -197,6 +221,7 @@
             route,
             organisation,
             service,
+            rank,
             model: head.model.clone(),
             arrived_ms: now_ms,
             sent_ms: now_ms,
--- a/crates/raildale-core/src/gateway/mod.rs
+++ b/crates/raildale-core/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 //! * [`routes`]: services, routes and keys of the configuration.
 //! * [`targets`]: the known targets and the choice among them.
 //! * [`target`]: load and health of one target.
+//! * [`ranks`]: the order of requests by priority.
 //! * [`regions`]: the regions in which requests may be served.
 //! * [`evacuations`]: data centres whose targets must get nothing.
 //! * [`shares`]: the part of each target's slots that this entry host owns.
@@ -34,6 +35,7 @@
 pub mod notices;
 pub mod outcomes;
 pub mod quarantine;
+pub mod ranks;
 pub mod regions;
 pub mod request;
 pub mod retry_budget;
--- a/crates/raildale-core/src/gateway/request.rs
+++ b/crates/raildale-core/src/gateway/request.rs
@@ -4,6 +4,7 @@
 
 use super::{
     fingerprint::Fingerprint,
+    ranks::Rank,
     routes::{Organisation, Route, RouteKind, Service},
     target_end::StartId,
 };
@@ -40,9 +41,18 @@
     Late,
 }
 
-/// Sort key in a queue: the time that decides the order, and a sequence number
-/// among the requests that have been queued on this entry host.
-pub type QueueKey = (u64, u64);
+/// Sort key in a queue: the rank, the time that decides the order within a
+/// rank, and a sequence number among the requests that have been queued on
+/// this entry host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct QueueKey {
+    /// The rank of the request.
+    pub rank: Rank,
+    /// The time by which its first event is due, or that of its arrival.
+    pub at_ms: u64,
+    /// Its sequence number.
+    pub number: u64,
+}
 
 /// An admitted request and the decisions made about it so far.
 #[derive(Clone, Debug)]
@@ -56,6 +66,8 @@
     pub organisation: Option<Arc<Organisation>>,
     /// The service to which it is sent.
     pub service: Arc<Service>,
+    /// Its rank among the requests of its service.
+    pub rank: Rank,
     /// The requested model.
     pub model: Option<Name>,
     /// When it arrived, on the process's clock.
@@ -93,13 +105,26 @@
     /// Returns its sequence number among the requests that have been queued;
     /// `u64::MAX` if it never was.
     pub fn queue_number(&self) -> u64 {
-        self.queue_key.map_or(u64::MAX, |(_, number)| number)
+        self.queue_key.map_or(u64::MAX, |key| key.number)
     }
 
     /// Returns its key in the queue of requests that can still meet their
     /// goal.
     pub fn in_time_key(&self, goal_at_ms: u64) -> QueueKey {
-        (goal_at_ms, self.queue_number())
+        QueueKey {
+            rank: self.rank,
+            at_ms: goal_at_ms,
+            number: self.queue_number(),
+        }
+    }
+
+    /// Returns its key in the queue of late requests.
+    pub fn late_key(&self) -> QueueKey {
+        QueueKey {
+            rank: self.rank,
+            at_ms: self.arrived_ms,
+            number: self.queue_number(),
+        }
     }
 
     /// Returns when an answer that has begun must end, complete or not, on the
--- a/crates/raildale-core/src/gateway/routes.rs
+++ b/crates/raildale-core/src/gateway/routes.rs
@@ -13,6 +13,8 @@
     routes: HashMap<Name, Vec<Arc<Route>>>,
     /// Services by name.
     services: HashMap<Name, Arc<Service>>,
+    /// The lowest and highest priority of the streams of each service.
+    priorities: HashMap<Name, (u8, u8)>,
     /// Organisations by API key; `None` if requests need no key.
     keys: Option<HashMap<Name, Arc<Organisation>>>,
     /// Limits on callers' requests.
@@ -194,6 +196,13 @@
 
     /// Adds a route.
     pub fn with_route(mut self, route: Route) -> Routing {
+        let is_stream = route.kind == RouteKind::Streaming;
+        for (service, _) in route.backends.iter().filter(|_| is_stream) {
+            let priority = route.priority;
+            let known = self.priorities.entry(service.clone());
+            let range = known.or_insert((priority, priority));
+            *range = (range.0.min(priority), range.1.max(priority));
+        }
         let routes = self.routes.entry(route.host.clone()).or_default();
         routes.push(Arc::new(route));
         routes.sort_by_key(|r| std::cmp::Reverse(r.path_prefix.len()));
@@ -253,6 +262,20 @@
         Ok((route.clone(), organisation))
     }
 
+    /// Returns whether the streams of a service have different priorities, so
+    /// that its requests have ranks. Other requests hold a target for some
+    /// tens of milliseconds, so that their order hardly matters.
+    pub fn is_ranked(&self, service: &str) -> bool {
+        let range = self.priorities.get(service);
+        range.is_some_and(|(lowest, highest)| lowest < highest)
+    }
+
+    /// Returns whether the requests of any service with an engine have ranks.
+    pub fn has_ranked_models(&self) -> bool {
+        let mut models = self.services().filter(|s| s.engine.is_some());
+        models.any(|service| self.is_ranked(&service.name))
+    }
+
     /// Returns the regions to which a route of an HTTP host limits its
     /// requests; empty if none does.
     pub fn bound_regions(&self, host: &str) -> Vec<Name> {
--- a/crates/raildale-core/src/gateway/shares.rs
+++ b/crates/raildale-core/src/gateway/shares.rs
@@ -22,6 +22,10 @@
 /// get some before the next heartbeat.
 const MIN_DEMAND: f64 = 0.5;
 
+/// The same where callers are concentrated: dozens of entry hosts that get
+/// requests only by chance must not own a tenth of the slots.
+const IDLE_DEMAND: f64 = 0.05;
+
 /// The entry hosts, in the same order on all of them.
 #[derive(Clone, Debug, Default)]
 pub struct Shares {
@@ -29,6 +33,8 @@
     own: usize,
     /// The number of entry hosts in this one's data centre, itself included.
     near_count: usize,
+    /// The demand below which an entry host does not compete; 0 if all do.
+    min_demand: f64,
 }
 
 impl Shares {
@@ -38,7 +44,39 @@
             let is_near = |s: &&Sender| s.data_centre == own.data_centre;
             senders.iter().filter(is_near).count()
         });
-        Shares { senders, own, near_count }
+        Shares { senders, own, near_count, min_demand: 0.0 }
+    }
+
+    /// Returns the shares if entry hosts without requests leave targets to the
+    /// others, as they do where callers are concentrated on some.
+    pub fn among_active(self) -> Shares {
+        let min_demand = MIN_DEMAND;
+        let competes = |(index, sender): &(usize, &Sender)| -> bool {
+            *index == self.own || sender.demand >= min_demand
+        };
+        let own = self.senders.get(self.own);
+        let near_count = own.map_or(0, |own| {
+            let is_near = |(_, sender): &(usize, &Sender)| {
+                sender.data_centre == own.data_centre
+            };
+            let senders = self.senders.iter().enumerate();
+            senders.filter(is_near).filter(competes).count()
+        });
+        Shares { near_count, min_demand, ..self }
+    }
+
+    /// Returns the index of this entry host.
+    pub fn own_index(&self) -> usize {
+        self.own
+    }
+
+    /// Returns the number of entry hosts that compete for targets.
+    pub fn competitor_count(&self) -> usize {
+        let senders = self.senders.iter().enumerate();
+        let competes = |(index, sender): &(usize, &Sender)| {
+            *index == self.own || sender.demand >= self.min_demand
+        };
+        senders.filter(competes).count()
     }
 
     /// Returns the number of entry hosts.
@@ -51,14 +89,17 @@
     pub fn competitors(&self, data_centre: &str) -> Competitors {
         let own = self.senders.get(self.own);
         let is_near = own.is_some_and(|own| *own.data_centre == *data_centre);
-        let count = if is_near { self.near_count } else { self.senders.len() };
+        let count =
+            if is_near { self.near_count } else { self.competitor_count() };
         Competitors { count, own_index: self.own }
     }
 
     /// Returns this entry host's part of the slots of each data centre.
     /// `supplies` holds the number of slots in each.
     pub fn parts(&self, supplies: &[(Name, f64)]) -> Parts {
-        let demand = |sender: &Sender| sender.demand.max(MIN_DEMAND);
+        let min_demand =
+            if self.min_demand > 0.0 { IDLE_DEMAND } else { MIN_DEMAND };
+        let demand = |sender: &Sender| sender.demand.max(min_demand);
         let all_demand: f64 = self.senders.iter().map(demand).sum();
         let all_supply: f64 = supplies.iter().map(|(_, slots)| slots).sum();
         let needs: Vec<f64> = self
--- a/crates/raildale-core/src/gateway/waiting.rs
+++ b/crates/raildale-core/src/gateway/waiting.rs
@@ -11,6 +11,7 @@
 
 use super::{
     decaying_sum::DecayingSum,
+    ranks::Turns,
     request::{Admission, MIN_RETRY_AFTER_MS, QueueKey, QueueKind},
     routes::RouteKind,
 };
@@ -27,11 +28,13 @@
 /// The queues of one service.
 #[derive(Debug)]
 struct Queue {
-    /// Requests that can meet their goal, by the time by which their first
-    /// event is due.
+    /// Requests that can meet their goal, by rank and by the time by which
+    /// their first event is due.
     in_time: BTreeSet<QueueKey>,
     /// Late requests, by time of arrival.
     late: BTreeSet<QueueKey>,
+    /// Whose turn it is, where requests have ranks.
+    turns: Turns,
     /// Late requests that were sent to a target.
     late_sent: DecayingSum,
     /// Time from sending a request to its first event, in milliseconds.
@@ -99,6 +102,7 @@
         Queue {
             in_time: BTreeSet::new(),
             late: BTreeSet::new(),
+            turns: Turns::default(),
             late_sent: DecayingSum::new(QUEUE_HALF_LIFE_MS),
             first_event_ms: DecayingSum::new(QUEUE_HALF_LIFE_MS),
         }
@@ -163,14 +167,12 @@
         if request.queue_key.is_none() {
             self.sequence += 1;
         }
-        let number =
-            request.queue_key.map_or(self.sequence, |(_, number)| number);
+        let number = request.queue_key.map_or(self.sequence, |key| key.number);
         let queue_key = match queue_kind {
-            QueueKind::InTime => (goal_at_ms(request), number),
-            QueueKind::NotQueued | QueueKind::Late => {
-                (request.arrived_ms, number)
-            }
+            QueueKind::InTime => request.in_time_key(goal_at_ms(request)),
+            QueueKind::NotQueued | QueueKind::Late => request.late_key(),
         };
+        let queue_key = QueueKey { number, ..queue_key };
         let queue = self.queues.entry(request.service.name.clone());
         if let Some(keys) = queue.or_default().keys_mut(queue_kind) {
             keys.insert(queue_key);
@@ -198,21 +200,27 @@
         }
         let is_other =
             |queue_key: &&QueueKey| Some(**queue_key) != request.queue_key;
-        let first = queue.in_time.iter().find(is_other);
-        match self.is_late(now_ms, request) {
-            false => first.is_none_or(|first| {
-                *first >= request.in_time_key(goal_at_ms(request))
+        if self.is_late(now_ms, request) {
+            let own = request.late_key();
+            return !queue.in_time.iter().any(|key| is_other(&key))
+                && queue.late.first().is_none_or(|first| *first >= own);
+        }
+        let own = request.in_time_key(goal_at_ms(request));
+        let mut others = queue.in_time.iter().filter(is_other);
+        match queue.turns.is_unranked() {
+            false => others.next().is_none_or(|first| *first >= own),
+            true => others.all(|other| {
+                (other.at_ms, other.number) >= (own.at_ms, own.number)
             }),
-            true => {
-                let own = (request.arrived_ms, request.queue_number());
-                first.is_none()
-                    && queue.late.first().is_none_or(|first| *first >= own)
-            }
         }
     }
 
     /// Records that a request was sent to a target.
     pub fn record_sent(&mut self, now_ms: u64, request: &Admission) {
+        if let Some(queue) = self.queues.get_mut(&request.service.name) {
+            let has_waiting = !queue.in_time.is_empty();
+            queue.turns.record_sent(has_waiting);
+        }
         if self.is_late(now_ms, request) {
             let name = request.service.name.clone();
             let queue = self.queues.entry(name).or_default();
--- a/crates/raildale-core/tests/gateway.rs
+++ b/crates/raildale-core/tests/gateway.rs
@@ -9,6 +9,7 @@
         Admission, Fingerprint, Gateway, GatewayConfig, Outcome, RequestHead,
         Route, RouteKind, Routing, Service, TargetReport, TargetSpec,
         lapse::{Lapse, StoreView},
+        ranks::{Rank, Turns},
         regions::Regions,
         request::Next,
         retry_budget::RetryBound,
@@ -1058,3 +1059,130 @@
     let next = gateway.next(now_ms + 101, &mut later, now_ms, 0);
     assert_eq!(sent(next).as_deref(), Some("t"));
 }
+
+/// Returns a gateway whose service `model` has streams of two priorities, and
+/// two organisations of which `first` goes first.
+fn ranked_gateway() -> Gateway {
+    let stream = |path: &str, priority: u8| Route {
+        priority,
+        ..route("r", path, "model", RouteKind::Streaming)
+    };
+    let organisation = |name: &str, priority: u8| Organisation {
+        name: name.into(),
+        priority: Some(priority),
+        regions: Vec::new(),
+    };
+    let mut gateway = gateway();
+    let routing = Routing::new(8)
+        .with_route(stream("/urgent/", 0))
+        .with_route(stream("/batch/", 2))
+        .with_service(Service {
+            name: "model".into(),
+            engine: Some(EngineSpec { usual_answer_tokens: 5.0, ..engine() }),
+            ..Service::default()
+        })
+        .with_organisation(organisation("first", 0), [Name::from("a")])
+        .with_organisation(organisation("other", 1), [Name::from("b")]);
+    assert!(gateway.set_routing(routing));
+    gateway.targets.put(target("t1", "model", 1, Some(1)));
+    gateway
+}
+
+fn admit_ranked(gateway: &mut Gateway, path: &str, key: &str) -> Admission {
+    let head = RequestHead {
+        host: "r".into(),
+        path: Name::from(path),
+        key: Some(key.into()),
+        deadline_ms: Some(6_000),
+        ..RequestHead::default()
+    };
+    gateway.admit(START_MS, &head, 0).expect("it is admitted")
+}
+
+/// An organisation's priority goes before the route's, and the route's decides
+/// among its requests.
+#[test]
+fn waiting_requests_go_by_rank() {
+    let mut gateway = ranked_gateway();
+    let mut running: Vec<Admission> =
+        (0..2).map(|_| admit_ranked(&mut gateway, "/urgent/", "a")).collect();
+    for request in &mut running {
+        gateway.next(START_MS, request, START_MS, 0);
+        gateway.record_begun(START_MS, request, "t1", 20);
+    }
+    let full = TargetReport { running: 2, ..report(1) };
+    let address = SocketAddr::from(([10, 0, 0, 1], 80));
+    gateway.targets.record_report(START_MS, address, full);
+    let order = [
+        ("/batch/", "b"),
+        ("/urgent/", "b"),
+        ("/batch/", "a"),
+        ("/urgent/", "a"),
+    ];
+    let mut waiting: Vec<Admission> = order
+        .iter()
+        .map(|(path, key)| admit_ranked(&mut gateway, path, key))
+        .collect();
+    for request in &mut waiting {
+        let next = gateway.next(START_MS, request, START_MS, 0);
+        assert!(matches!(next, Next::Wait(_)), "{next:?}");
+    }
+    for first in (0..waiting.len()).rev() {
+        let mut done = running.remove(0);
+        let outcome = Outcome::Whole;
+        gateway.on_attempt_ended(START_MS, &mut done, "t1", outcome);
+        let later_ms = START_MS + 20;
+        for (place, request) in waiting.iter_mut().enumerate() {
+            let next = gateway.next(later_ms, request, START_MS, 0);
+            let is_sent = matches!(next, Next::Send(_));
+            assert_eq!(is_sent, place == first, "{place}: {next:?}");
+        }
+        let mut sent = waiting.remove(first);
+        gateway.record_begun(later_ms, &mut sent, "t1", 20);
+        running.push(sent);
+    }
+}
+
+/// However many urgent requests there are, the others get a turn.
+#[test]
+fn every_rank_gets_a_turn() {
+    let mut turns = Turns::default();
+    let mut unranked = 0;
+    for _ in 0..80 {
+        unranked += u32::from(turns.is_unranked());
+        turns.record_sent(true);
+        turns.record_sent(false);
+    }
+    assert_eq!(unranked, 10);
+}
+
+/// Where the streams of a service have one priority, nobody has a rank,
+/// whatever the organisations' priorities and other routes' are.
+#[test]
+fn requests_of_one_priority_have_no_rank() {
+    let mut gateway = gateway();
+    let organisation = Organisation {
+        name: "first".into(),
+        priority: Some(0),
+        regions: Vec::new(),
+    };
+    let plain = Route {
+        priority: 2,
+        ..route("a", "/plain/", "plain", RouteKind::Idempotent)
+    };
+    let mut routing = routing()
+        .with_route(plain)
+        .with_organisation(organisation, [Name::from("a")]);
+    routing.version = 9;
+    gateway.set_routing(routing);
+    for (path, key) in [("/deep/", "a"), ("/deep/", "key"), ("/plain/", "a")] {
+        let head = RequestHead {
+            host: "a".into(),
+            path: path.into(),
+            key: Some(key.into()),
+            ..RequestHead::default()
+        };
+        let request = gateway.admit(START_MS, &head, 0).expect("admitted");
+        assert_eq!(request.rank, Rank::default(), "{path} {key}");
+    }
+}
--- a/crates/raildale-testkit/src/load/pattern.rs
+++ b/crates/raildale-testkit/src/load/pattern.rs
@@ -114,6 +114,13 @@
     pub events: f64,
     /// The standard deviation of both numbers, divided by their mean.
     pub spread: f64,
+    /// Its priority, 0 being the highest.
+    #[serde(default = "default_priority")]
+    pub priority: u8,
+}
+
+fn default_priority() -> u8 {
+    1
 }
 
 /// An arrival rate and the time from which it applies.
@@ -194,6 +201,12 @@
         text.map_err(PatternError::Unreadable)?.parse()
     }
 
+    /// Returns whether routes have different priorities.
+    pub fn is_ranked(&self) -> bool {
+        let first = self.routes.first().map(|route| route.priority);
+        self.routes.iter().any(|route| Some(route.priority) != first)
+    }
+
     /// Returns the number of data centres.
     pub fn data_centre_count(&self) -> usize {
         self.fleet.targets.len()
