Callers are named as many entry hosts as own enough slots

With fewer than 6 slots per entry host (12 where requests have ranks) callers are named only so many entry hosts of their data centre that each owns some 32 slots, those with most processor time first. The others stay ready and own next to nothing. Heartbeats tell the state, so that a started entry host does as the others do.

--- a/crates/raildale-core/src/fleet_message.rs
+++ b/crates/raildale-core/src/fleet_message.rs
@@ -91,6 +91,9 @@
     /// the same order; missing ones count as the era in `eras`.
     #[prost(uint64, repeated, tag = "13")]
     pub oldest_eras: Vec<u64>,
+    /// Whether the entry host names only some entry hosts to callers.
+    #[prost(bool, tag = "14")]
+    pub is_concentrating: bool,
 }
 
 impl Hello {
--- a/crates/raildale-core/src/log_event.rs
+++ b/crates/raildale-core/src/log_event.rs
@@ -55,6 +55,7 @@
     MemberDown = 211, Warn, "another entry host's heartbeats are missing";
     AgentUp = 212, Info, "the reports of a target's agent are received";
     AgentDown = 213, Warn, "the reports of a target's agent are missing";
+    Concentration = 214, Info, "callers are named only some entry hosts, or all again";
     SettingsInForce = 300, Info, "a settings revision came into force";
     SettingsOlderRefused = 301, Info, "an older settings revision was refused";
     SettingsUnreadable = 302, Alarm, "a settings revision is invalid and was not applied";
--- a/crates/raildale-core/src/members/mod.rs
+++ b/crates/raildale-core/src/members/mod.rs
@@ -3,13 +3,17 @@
 //! The store lists them. Heartbeats show which of them are alive; in a large
 //! fleet, digests do so for other data centres.
 //!
+//! * [`concentration`]: the entry hosts that are named to callers where there
+//!   are many.
 //! * [`relays`]: which entry hosts exchange heartbeats, and the digests
 //!   between data centres.
 
+pub mod concentration;
 pub mod relays;
 
 use std::{collections::BTreeMap, net::IpAddr};
 
+use self::concentration::{Band, Candidate, CentreLoad, Concentration};
 use crate::{
     Name,
     catalog::{Extent, Kind, Stamp},
@@ -25,6 +29,9 @@
     pub ip: IpAddr,
     /// The data centre in which it runs.
     pub data_centre: Name,
+    /// Its share of processor time, in thousandths of a core; `None` if it is
+    /// not known. Heartbeats don't carry it.
+    pub cpu_millis: Option<u32>,
 }
 
 /// The contents of an entry host's heartbeat.
@@ -41,6 +48,8 @@
     pub sees_store: bool,
     /// The recent rate of requests that it receives, per second.
     pub demand_per_s: f64,
+    /// Whether it names only some entry hosts to callers.
+    pub is_concentrating: bool,
 }
 
 /// The regions to which a caller's requests are bound.
@@ -85,6 +94,7 @@
     round_trips: relays::RelayRoundTrips,
     /// Since when another entry host has been ahead, by kind.
     behind_since_ms: BTreeMap<Kind, u64>,
+    concentration: Concentration,
 }
 
 /// An entry host counts as gone after this many milliseconds without a
@@ -141,6 +151,7 @@
             delisted_ms: BTreeMap::new(),
             round_trips: relays::RelayRoundTrips::default(),
             behind_since_ms: BTreeMap::new(),
+            concentration: Concentration::default(),
         }
     }
 
@@ -186,7 +197,8 @@
             last_heartbeat: None,
             was_reported_up: false,
         });
-        known.entry = entry;
+        let cpu_millis = entry.cpu_millis.or(known.entry.cpu_millis);
+        known.entry = MemberEntry { cpu_millis, ..entry };
     }
 
     /// Records a heartbeat. Returns whether its sender had not been heard
@@ -297,6 +309,58 @@
         seeing_count < WATCHERS && is_candidate
     }
 
+    /// Decides whether callers are named only some entry hosts, given the
+    /// slots of all targets. Returns whether that changed.
+    pub fn update_concentration(
+        &mut self,
+        now_ms: u64,
+        slots: f64,
+        band: Band,
+    ) -> bool {
+        let is_heard = self.others.values().any(|member| {
+            let heard = heartbeat_within(member, now_ms, SILENT_MS);
+            heard.is_some_and(|beat| beat.is_concentrating)
+        });
+        let slots_per_host = slots / (self.others.len() + 1) as f64;
+        self.concentration.update(now_ms, slots_per_host, band, is_heard)
+    }
+
+    /// Returns whether callers are named only some entry hosts.
+    pub fn is_concentrating(&self) -> bool {
+        self.concentration.is_on()
+    }
+
+    /// Returns the addresses for callers in a data centre, whose targets have
+    /// `slots` slots, while callers are concentrated; `None` if no entry host
+    /// there is open.
+    pub fn concentrated_addresses(
+        &self,
+        now_ms: u64,
+        data_centre: &str,
+        is_own_open: bool,
+        slots: f64,
+    ) -> Option<Vec<IpAddr>> {
+        let open = self.open_entries(now_ms, is_own_open);
+        let local: Vec<Candidate> = open
+            .iter()
+            .filter(|entry| *entry.data_centre == *data_centre)
+            .map(|entry| Candidate {
+                ip: entry.ip,
+                cpu_millis: entry.cpu_millis,
+            })
+            .collect();
+        let demand_per_s = self
+            .others
+            .values()
+            .filter(|m| *m.entry.data_centre == *data_centre)
+            .filter_map(|m| heartbeat_within(m, now_ms, SILENT_MS))
+            .map(|beat| beat.demand_per_s)
+            .sum();
+        let load = CentreLoad { slots, demand_per_s };
+        let named = concentration::named(local, load);
+        (!named.is_empty()).then_some(named)
+    }
+
     /// Returns the addresses for callers in a data centre: the entry hosts
     /// there, and so many others that the callers of each data centre share
     /// about the same number of entry hosts. `draw` rotates the others to
--- a/crates/raildale-core/tests/members.rs
+++ b/crates/raildale-core/tests/members.rs
@@ -20,6 +20,7 @@
         name: Name::from(format!("{centre}-{last}")),
         ip: IpAddr::V4(Ipv4Addr::new(10, 0, 0, last)),
         data_centre: Name::from(centre),
+        cpu_millis: None,
     }
 }
 
--- a/crates/raildale-core/tests/relays.rs
+++ b/crates/raildale-core/tests/relays.rs
@@ -37,6 +37,7 @@
         name: Name::from(format!("host-{host}")),
         ip: ip(host),
         data_centre: Name::from(format!("centre-{}", host % CENTRES)),
+        cpu_millis: None,
     }
 }
 
--- a/crates/raildale-testkit/src/load/mod.rs
+++ b/crates/raildale-testkit/src/load/mod.rs
@@ -9,6 +9,7 @@
 //! * [`engine`]: a simulated engine that processes a batch in passes.
 //! * [`sample`]: the callers' requests, drawn from a seed.
 //! * [`world`]: the simulation of callers, entry hosts and targets.
+//! * `named`: the entry hosts that callers are named.
 //! * `reports`: reports, digests and heartbeats sent to entry hosts.
 //! * [`bound`]: an upper bound on the credit that any policy can earn.
 //! * [`result`]: the results of a run and their tables.
@@ -16,6 +17,7 @@
 
 pub mod bound;
 pub mod engine;
+mod named;
 pub mod page;
 pub mod pattern;
 mod reports;
--- a/crates/raildale-testkit/src/load/reports.rs
+++ b/crates/raildale-testkit/src/load/reports.rs
@@ -1,6 +1,9 @@
 //! Reports, digests and heartbeats sent to entry hosts, with their latencies.
 
-use raildale_core::gateway::{TargetReport, shares::Sender};
+use raildale_core::gateway::{
+    TargetReport,
+    shares::{Sender, Shares},
+};
 use rand::RngExt;
 
 use super::world::{
@@ -19,7 +22,11 @@
         let senders = senders.collect();
         let known = self.hosts.len();
         let gateway = &mut self.hosts[host].gateway;
-        gateway.set_entry_hosts(senders, host);
+        let shares = Shares::new(senders, host);
+        gateway.set_shares(match self.named.is_concentrated {
+            true => shares.among_active(),
+            false => shares,
+        });
         gateway.set_known_entry_hosts(known);
         self.schedule(HEARTBEAT_MS, Event::Heartbeat(host));
     }
--- a/crates/raildale-testkit/src/load/world.rs
+++ b/crates/raildale-testkit/src/load/world.rs
@@ -23,6 +23,7 @@
 
 use super::{
     engine::{Engine, EngineRequest},
+    named::NamedHosts,
     pattern::{Pattern, StoreRestore},
     result::{Ending, RequestResult},
     sample::CallerRequest,
@@ -170,6 +171,8 @@
     calls: Vec<Call>,
     attempts: Vec<Attempt>,
     pub(super) hosts: Vec<EntryHost>,
+    /// The entry hosts that callers are named.
+    pub(super) named: NamedHosts,
     pub(super) targets: Vec<TargetHost>,
 }
 
@@ -209,6 +212,7 @@
             calls,
             attempts: Vec::new(),
             hosts: hosts.collect(),
+            named: NamedHosts::new(pattern),
             targets,
         }
     }
@@ -402,9 +406,7 @@
 
     fn on_caller_arrived(&mut self, index: usize) {
         let centre = self.calls[index].request.data_centre;
-        let near: Vec<usize> = (0..self.hosts.len())
-            .filter(|host| self.hosts[*host].data_centre == centre)
-            .collect();
+        let near = self.named.in_centre(centre);
         let host = match near.is_empty() {
             true => self.rng.random_range(0..self.hosts.len()),
             false => near[self.rng.random_range(0..near.len())],
@@ -795,7 +797,7 @@
         timeout_ms: route.timeout_ms,
         goal_ms: route.goal_ms,
         gap_goal_ms: route.gap_goal_ms,
-        priority: 1,
+        priority: route.priority,
         backends: vec![(Name::from(SERVICE), 1)],
         max_attempts: 2,
         is_public: false,
--- a/crates/raildale-testkit/tests/load.rs
+++ b/crates/raildale-testkit/tests/load.rs
@@ -128,6 +128,48 @@
     assert!(mean.credit >= 0.96, "{}", mean.credit);
 }
 
+/// 69 entry hosts before 34 targets, at four fifths of their capacity. When
+/// callers are named all entry hosts, of which each owns six slots, 15 in
+/// 1,000 are late although slots are free.
+#[test]
+fn callers_are_concentrated_before_few_targets() {
+    let mean = mean_of(&simulated("many-hosts.toml"));
+    assert!(mean.late <= 0.013, "{}", mean.late);
+}
+
+/// The same fleet with half as much again as its targets can answer. When
+/// callers are named all entry hosts, 5 in 100 requests are lost: they wait
+/// or run until their callers leave.
+#[test]
+fn concentrated_callers_are_told_in_time() {
+    let results = simulated("many-hosts-overload.toml");
+    let lost: u32 = results.iter().map(|result| result.all.lost).sum();
+    let asked: u32 = results.iter().map(|result| result.all.asked).sum();
+    assert!(f64::from(lost) <= 0.025 * f64::from(asked), "{lost} of {asked}");
+    let mean = mean_of(&results);
+    assert!(mean.credit >= 0.6, "{}", mean.credit);
+}
+
+/// A third more load than the targets can answer, from routes of three
+/// priorities. Without ranks, the most urgent route gets 0.58 of its credit
+/// and the least urgent one 0.83.
+#[test]
+fn an_overload_is_borne_by_the_less_urgent() {
+    for result in simulated("ranked-overload.toml") {
+        let [urgent, usual, batch] = &result.routes[..] else {
+            panic!("three routes are expected");
+        };
+        assert!(urgent.credit >= 0.8, "{result}");
+        assert!(urgent.credit >= usual.credit, "{result}");
+        assert!(usual.credit >= batch.credit, "{result}");
+        let answered = |group: &GroupStats| group.in_time + group.late;
+        let share = |group: &GroupStats| {
+            f64::from(answered(group)) / f64::from(group.asked)
+        };
+        assert!(share(batch) >= share(&result.all) / 4.0, "{result}");
+    }
+}
+
 /// Returns the share of the requests in a range of seconds that was answered
 /// in time, over all seeds.
 fn in_time_share(
--- a/crates/raildale/src/fleet/entry/callers.rs
+++ b/crates/raildale/src/fleet/entry/callers.rs
@@ -249,6 +249,14 @@
         let members = self.members.borrow();
         let (now, is_open) = (now_ms(), self.is_ready());
         match allowed.filter(|allowed| !allowed.is_empty()) {
+            None if members.is_concentrating() => {
+                let slots = gateway.model_slots(Some(data_centre));
+                members
+                    .concentrated_addresses(now, data_centre, is_open, slots)
+                    .unwrap_or_else(|| {
+                        members.addresses_for(now, data_centre, is_open, draw)
+                    })
+            }
             None => members.addresses_for(now, data_centre, is_open, draw),
             Some(allowed) => {
                 let regions = gateway.regions();
--- a/crates/raildale/src/fleet/entry/digests.rs
+++ b/crates/raildale/src/fleet/entry/digests.rs
@@ -56,9 +56,10 @@
 {
     let IpAddr::V4(own_ip) = host.node.ip else { return None };
     let now = now_ms();
+    let hello = peers::hello(host);
     let mut members = host.members.borrow_mut();
     Some(Digest {
-        hello: Some(peers::hello(host)),
+        hello: Some(hello),
         relay_ip: u32::from(own_ip),
         entry_hosts: members.digest_entry_hosts(now),
         targets: heard_targets(host),
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -29,7 +29,7 @@
         Fingerprint, Gateway, GatewayConfig, evacuations::Evacuations,
         retry_budget::RetryBound, routes::Limits,
     },
-    members::{MemberEntry, Members},
+    members::{MemberEntry, Members, concentration::Band},
 };
 use tokio::sync::watch;
 
@@ -171,6 +171,7 @@
             name: Name::from(node.name.as_str()),
             ip: node.ip,
             data_centre: data_centre.clone(),
+            cpu_millis: file.machine.cpu_millis(),
         };
         let bounds = &file.bounds;
         let mut gateway = Gateway::new(GatewayConfig {
@@ -226,6 +227,26 @@
         Kind::in_use(self.has_evacuations)
     }
 
+    /// Decides anew whether callers are named only some entry hosts.
+    pub fn update_concentration(&self) {
+        let gateway = self.gateway.borrow();
+        let slots = gateway.model_slots(None);
+        let is_ranked =
+            gateway.routing().is_some_and(|r| r.has_ranked_models());
+        drop(gateway);
+        let band = if is_ranked { Band::RANKED } else { Band::USUAL };
+        let mut members = self.members.borrow_mut();
+        if !members.update_concentration(now_ms(), slots, band) {
+            return;
+        }
+        let is_on = members.is_concentrating();
+        let hosts = members.others().count() + 1;
+        drop(members);
+        self.metrics.set("callers_concentrated", "", u64::from(is_on));
+        let detail = format!("on={is_on} slots={slots} entry_hosts={hosts}");
+        self.log(LogEvent::Concentration, &detail);
+    }
+
     /// Logs a numbered event.
     pub fn log(&self, event: LogEvent, detail: &str) {
         logs::event(&self.name, event, detail);
--- a/crates/raildale/src/fleet/entry/peers.rs
+++ b/crates/raildale/src/fleet/entry/peers.rs
@@ -12,6 +12,7 @@
     LogEvent, Name,
     catalog::{Extent, Kind},
     fleet_message::{Hello, ModelVersionAge, Note, Report},
+    gateway::shares::Shares,
     members::{Heartbeat, MemberEntry},
 };
 use tokio::net::UdpSocket;
@@ -115,6 +116,7 @@
         name: Name::from(hello.name),
         ip,
         data_centre: Name::from(hello.data_centre),
+        cpu_millis: None,
     };
     let heartbeat = Heartbeat {
         is_leaving: hello.is_leaving,
@@ -122,6 +124,7 @@
         extents,
         sees_store: hello.sees_store,
         demand_per_s: f64::from(hello.demand_per_s),
+        is_concentrating: hello.is_concentrating,
     };
     host.handle_peer_versions(hello.versions, hello.versions_heard_age_ms);
     host.handle_peer_suspects(hello.suspects);
@@ -238,11 +241,16 @@
         send(socket, &note, SocketAddr::new(ip, port)).await;
     }
     let now = now_ms();
+    host.update_concentration();
     let demand_per_s = host.gateway.borrow().demand_per_s(now);
     let (hosts, own) = host.members.borrow().senders(now, demand_per_s);
     let known = host.members.borrow().others().count() + 1;
     let mut gateway = host.gateway.borrow_mut();
-    gateway.set_entry_hosts(hosts, own);
+    let shares = Shares::new(hosts, own);
+    gateway.set_shares(match host.members.borrow().is_concentrating() {
+        true => shares.among_active(),
+        false => shares,
+    });
     gateway.set_known_entry_hosts(known);
     let is_fleet_known = host.store_mirror.is_known(Kind::EntryHosts);
     gateway.targets.set_fleet_known(is_fleet_known);
@@ -312,6 +320,7 @@
         demand_per_s: host.gateway.borrow().demand_per_s(now) as f32,
         suspects: host.gateway.borrow().quarantine.outgoing(now),
         notices: host.gateway.borrow().targets.notices.outgoing(now),
+        is_concentrating: host.members.borrow().is_concentrating(),
         ..Hello::default()
     };
     hello.with_extents(&extents)
--- a/crates/raildale/src/fleet/settings.rs
+++ b/crates/raildale/src/fleet/settings.rs
@@ -89,6 +89,19 @@
 pub struct MachineSettings {
     /// The rate of its link, in megabits per second.
     pub link_mbps: f64,
+    /// Its share of a core; none if it is not known.
+    pub cpu_share: Option<f64>,
+    /// The speed of that core, relative to the usual one.
+    #[serde(default = "default_cores")]
+    pub cores: f64,
+}
+
+impl MachineSettings {
+    /// Returns the share of processor time in thousandths of a usual core.
+    pub fn cpu_millis(&self) -> Option<u32> {
+        let share = self.cpu_share?;
+        Some((share * self.cores * 1e3) as u32)
+    }
 }
 
 /// Bounds that the platform's users set.
@@ -122,6 +135,10 @@
     "info".to_string()
 }
 
+fn default_cores() -> f64 {
+    1.0
+}
+
 fn default_grace_s() -> f64 {
     8.0
 }
