A version's bound outlasts a start of all entry hosts

Cause: the time of a naming was known to running entry hosts only.

Change: watchers that heard of a naming write its time of day into the status of the version's own object, one call a naming as a rule; no new kind and no new watch. Who starts dates versions by that, 2 s earlier as clocks may step; without a record the bound counts as over. Both give way to what a running entry host tells, and are not told on.

--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -17,7 +17,7 @@
     target::Target,
     target_end::TargetEnd,
     targets::{Need, Targets, VersionBound},
-    versions::NamedVersion,
+    versions::{NamedVersion, NamingBasis},
     waiting::{TargetAvailability, WaitDecision, WaitQueues, max_retry_ms},
 };
 use crate::{Code, Name};
@@ -46,6 +46,8 @@
     pub targets: Targets,
     budgets: HashMap<Name, RetryBudget>,
     pub(super) versions: HashMap<Name, Vec<NamedVersion>>,
+    /// Versions of models whose naming time is a guess or a record.
+    pub(super) unheard_versions: HashMap<(Name, u64), NamingBasis>,
     /// When the store last reported the named versions to any entry host, as
     /// far as known here, on this process's clock.
     pub(super) versions_heard_ms: Option<u64>,
@@ -102,6 +104,7 @@
             targets: Targets::new(),
             budgets: HashMap::new(),
             versions: HashMap::new(),
+            unheard_versions: HashMap::new(),
             versions_heard_ms: None,
             entry_hosts: 1,
             known_entry_hosts: 1,
--- a/crates/raildale-core/src/gateway/versions.rs
+++ b/crates/raildale-core/src/gateway/versions.rs
@@ -24,13 +24,92 @@
     Known,
 }
 
+/// What the time of a naming is based on, the weakest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum NamingBasis {
+    /// Nothing tells when the version was named: its bound counts as over, as
+    /// nothing may be sent that can't be shown to be within it.
+    Assumed,
+    /// A record in the store tells the time of day.
+    Recorded,
+    /// An entry host heard of it and has run since.
+    Heard,
+}
+
+/// How much earlier than recorded a version may have been named, in
+/// milliseconds: the time of day may step by this much.
+const RECORD_ERROR_MS: u64 = 2_000;
+
 impl Gateway {
+    /// Records a version of which no running entry host has told when it was
+    /// named. `recorded_age_ms` is its age by the time of day if the store
+    /// holds a record. It gives way to anything better known, and no other
+    /// entry host is told.
+    pub fn record_unheard_version(
+        &mut self,
+        now_ms: u64,
+        model: &Name,
+        version: u64,
+        recorded_age_ms: Option<u64>,
+    ) -> VersionChange {
+        let (basis, named_ms) = match recorded_age_ms {
+            Some(ms) => (
+                NamingBasis::Recorded,
+                now_ms.saturating_sub(ms + RECORD_ERROR_MS),
+            ),
+            None => (
+                NamingBasis::Assumed,
+                now_ms.saturating_sub(self.config.version_ms),
+            ),
+        };
+        let key = (model.clone(), version);
+        let is_known = self.knows_version(model, version);
+        let known_basis = self.unheard_versions.get(&key).copied();
+        if is_known && known_basis.is_none_or(|known| known >= basis) {
+            return VersionChange::Known;
+        }
+        self.forget_version(model, version);
+        self.unheard_versions.insert(key, basis);
+        self.insert_version(model.clone(), NamedVersion { version, named_ms })
+    }
+
+    /// Returns what the naming time of a version is based on; `None` if the
+    /// version is not known.
+    pub fn naming_basis(
+        &self,
+        model: &Name,
+        version: u64,
+    ) -> Option<NamingBasis> {
+        let unheard = self.unheard_versions.get(&(model.clone(), version));
+        let is_known = self.knows_version(model, version);
+        let basis = unheard.copied().unwrap_or(NamingBasis::Heard);
+        is_known.then_some(basis)
+    }
+
+    fn forget_version(&mut self, model: &Name, version: u64) {
+        if let Some(known) = self.versions.get_mut(model) {
+            known.retain(|named| named.version != version);
+        }
+    }
+
     /// Records that a version of a model was named. The bound runs from the
     /// naming, so the earliest reported time counts.
     pub fn record_version(
         &mut self,
         model: Name,
         named: NamedVersion,
+    ) -> VersionChange {
+        let key = (model.clone(), named.version);
+        if self.unheard_versions.remove(&key).is_some() {
+            self.forget_version(&model, named.version);
+        }
+        self.insert_version(model, named)
+    }
+
+    fn insert_version(
+        &mut self,
+        model: Name,
+        named: NamedVersion,
     ) -> VersionChange {
         let versions = self.versions.entry(model).or_default();
         match versions.binary_search_by_key(&named.version, |v| v.version) {
@@ -76,13 +155,18 @@
         self.versions_heard_ms.unwrap_or(now_ms)
     }
 
-    /// Returns the versions that bound what may start now or later: of each
-    /// model, the newest whose bound has passed, and all newer ones.
+    /// Returns the versions that bound what may start now or later, and whose
+    /// naming an entry host has heard of: of each model, the newest whose
+    /// bound has passed, and all newer ones.
     pub fn bounding_versions(&self, now_ms: u64) -> Vec<(Name, NamedVersion)> {
         let mut bounding = Vec::new();
         for (model, named) in &self.versions {
             let min_version = self.min_version(now_ms, model, 0);
-            let from_min = named.iter().filter(|v| v.version >= min_version);
+            let from_min = named.iter().filter(|named| {
+                let basis = self.naming_basis(model, named.version);
+                named.version >= min_version
+                    && basis == Some(NamingBasis::Heard)
+            });
             bounding.extend(from_min.map(|v| (model.clone(), *v)));
         }
         bounding
--- a/crates/raildale-core/tests/gateway.rs
+++ b/crates/raildale-core/tests/gateway.rs
@@ -1186,3 +1186,28 @@
         assert_eq!(request.rank, Rank::default(), "{path} {key}");
     }
 }
+
+/// Of a version that no running entry host has heard of, the bound counts as
+/// over unless a record tells its age; what an entry host tells replaces both,
+/// and only that is told on.
+#[test]
+fn a_naming_is_dated_by_the_best_that_is_known() {
+    let mut gateway = gateway();
+    let model = Name::from("m");
+    gateway.record_unheard_version(START_MS, &model, 2, None);
+    assert_eq!(gateway.min_version(START_MS, "m", 0), 2);
+    let recorded_age = Some(VERSION_MS - 3_000);
+    gateway.record_unheard_version(START_MS, &model, 2, recorded_age);
+    assert_eq!(gateway.min_version(START_MS, "m", 0), 0);
+    assert_eq!(gateway.min_version(START_MS, "m", 1_000), 2);
+    gateway.record_unheard_version(START_MS, &model, 2, None);
+    assert_eq!(gateway.min_version(START_MS, "m", 0), 0);
+    assert_eq!(gateway.bounding_versions(START_MS), []);
+    let named = NamedVersion { version: 2, named_ms: START_MS - 1_000 };
+    gateway.record_version(model.clone(), named);
+    assert_eq!(gateway.min_version(START_MS, "m", VERSION_MS - 1_001), 0);
+    assert_eq!(gateway.min_version(START_MS, "m", VERSION_MS - 1_000), 2);
+    assert_eq!(gateway.bounding_versions(START_MS), [(model.clone(), named)]);
+    gateway.record_unheard_version(START_MS, &model, 2, recorded_age);
+    assert_eq!(gateway.min_version(START_MS, "m", VERSION_MS - 1_001), 0);
+}
--- a/crates/raildale/src/fleet/edge.rs
+++ b/crates/raildale/src/fleet/edge.rs
@@ -88,7 +88,15 @@
         record: &Record,
     ) -> impl Future<Output = Result<(), StoreFailure>>;
 
-    /// Deletes such a record.
+    /// Writes the records of a model's named versions, which replace earlier
+    /// ones.
+    fn put_naming_records(
+        &self,
+        model: &str,
+        records: &[NamingRecord],
+    ) -> impl Future<Output = Result<(), StoreFailure>>;
+
+    /// Deletes the record of a request that ends its targets.
     fn delete_quarantine(
         &self,
         name: &str,
@@ -102,6 +110,17 @@
     pub model: Name,
     /// The version.
     pub version: u64,
+    /// The recorded namings of this version and of earlier ones.
+    pub records: Vec<NamingRecord>,
+}
+
+/// When a version of a model was named, as an entry host heard it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NamingRecord {
+    /// The version.
+    pub version: u64,
+    /// The time of day in Unix milliseconds.
+    pub unix_ms: u64,
 }
 
 /// What an answer's head contains.
--- a/crates/raildale/src/fleet/entry/host/changes.rs
+++ b/crates/raildale/src/fleet/entry/host/changes.rs
@@ -383,6 +383,7 @@
         else {
             return;
         };
+        self.apply_naming_records(&named);
         let is_known =
             self.gateway.borrow().knows_version(&named.model, named.version);
         // The object does not contain the time of naming: whoever reported the
@@ -391,12 +392,18 @@
             return;
         }
         let now = now_ms();
-        let named_ms = match source {
-            // The other entry host's heartbeats contain the age.
-            ChangeSource::EntryHost { .. } => now,
-            ChangeSource::Store { is_continuous: true } => now,
-            ChangeSource::Store { is_continuous: false } => {
-                self.gateway.borrow().earliest_naming_ms(now)
+        let gateway = self.gateway.borrow();
+        let is_any_heard = gateway.versions_heard_ms().is_some();
+        let earliest_ms = gateway.earliest_naming_ms(now);
+        drop(gateway);
+        let named_ms = match (source, is_any_heard) {
+            (ChangeSource::Store { is_continuous: true }, _) => now,
+            (ChangeSource::Store { .. }, true) => earliest_ms,
+            // Another entry host's heartbeats tell the age, if it knows it.
+            (ChangeSource::Store { .. }, false)
+            | (ChangeSource::EntryHost { .. }, _) => {
+                self.record_unheard(&named.model, named.version, None);
+                return;
             }
         };
         let version = NamedVersion { version: named.version, named_ms };
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -3,12 +3,14 @@
 //! * [`store_mirror`]: the local copy of the store, by kind of object.
 //! * `changes`: applies the store's changes to routing and members.
 //! * `evacuations`: data centres that the operator evacuates.
+//! * `naming_records`: stored records of when versions were named.
 //! * `notices`: what targets announce in their answers.
 //! * `restores`: detection of restores of the store from an older copy.
 //! * `suspects`: losses and records of requests that end their targets.
 
 mod changes;
 mod evacuations;
+mod naming_records;
 mod notices;
 mod restores;
 pub mod store_mirror;
@@ -113,6 +115,8 @@
     /// The time from the signal to stop until the process is killed, in
     /// milliseconds.
     grace_ms: u64,
+    /// When the records of each model's namings may be written again.
+    naming_writes_ms: RefCell<BTreeMap<Name, u64>>,
     /// Whether the operator may evacuate data centres.
     has_evacuations: bool,
     name: Name,
@@ -216,6 +220,7 @@
             store_era: Cell::new(None),
             older_answers: RefCell::default(),
             grace_ms: (bounds.grace_s * 1e3) as u64,
+            naming_writes_ms: RefCell::default(),
             has_evacuations,
             name: Name::from(node.name.as_str()),
             node,
--- /dev/null
+++ b/crates/raildale/src/fleet/entry/host/naming_records.rs
@@ -0,0 +1,158 @@
+//! Records in the store of when versions were named.
+//!
+//! A version's bound runs from its naming. Running entry hosts tell one
+//! another its age; a record tells it after a start of all of them. The
+//! watchers that heard of a naming write it into the version's own object.
+
+use std::rc::Rc;
+
+use raildale_core::{
+    Name,
+    catalog::Kind,
+    gateway::versions::{NamingBasis, VersionChange},
+};
+
+use super::{EntryHost, unix_ms};
+use crate::fleet::{
+    edge::{Dialect, NamedWeights, NamingRecord, Store},
+    steady_clock::now_ms,
+};
+
+/// The pause between two writes of a model's records, in milliseconds. By then
+/// the watch of the store has delivered the first, or the store is away.
+const WRITE_PAUSE_MS: u64 = 1_500;
+
+/// The maximum time that a watcher leaves the first write to the others, in
+/// milliseconds.
+const MAX_WRITE_DELAY_MS: u64 = 400;
+
+/// The maximum number of records of a model; the oldest are dropped first.
+const MAX_RECORDS: usize = 8;
+
+impl<P: Dialect + Store + 'static> EntryHost<P> {
+    /// Takes over the recorded namings of a model, where no running entry host
+    /// has told better.
+    pub(super) fn apply_naming_records(&self, named: &NamedWeights) {
+        let unix_ms = unix_ms();
+        for record in &named.records {
+            let age_ms = unix_ms.saturating_sub(record.unix_ms);
+            self.record_unheard(&named.model, record.version, Some(age_ms));
+        }
+    }
+
+    /// Records a version of which no running entry host has told when it was
+    /// named.
+    pub(super) fn record_unheard(
+        &self,
+        model: &Name,
+        version: u64,
+        recorded_age_ms: Option<u64>,
+    ) {
+        let mut gateway = self.gateway.borrow_mut();
+        let change = gateway.record_unheard_version(
+            now_ms(),
+            model,
+            version,
+            recorded_age_ms,
+        );
+        drop(gateway);
+        if change == VersionChange::Known {
+            return;
+        }
+        self.briefing_due.notify_one();
+        let detail = format!(
+            "model={model} version={version} recorded_age_ms={}",
+            recorded_age_ms.map_or("none".to_string(), |ms| ms.to_string()),
+        );
+        self.log(raildale_core::LogEvent::VersionNamed, &detail);
+    }
+
+    /// Writes the namings that the store lacks, if this entry host watches the
+    /// store.
+    pub fn reconcile_naming_records(self: &Rc<Self>) {
+        let now = now_ms();
+        if !self.sees_store() || !self.members.borrow().is_watcher(now) {
+            return;
+        }
+        for object in self.store_mirror.snapshot(Kind::Versions).objects {
+            // Objects that do not decode were logged on arrival.
+            let Ok(named) = self.platform.named_weights(&object.body) else {
+                continue;
+            };
+            let Some(records) = self.missing_records(&named) else { continue };
+            if self.claim_naming_write(&named.model) {
+                let host = self.clone();
+                tokio::task::spawn_local(async move {
+                    host.write_naming_records(&named.model, &records).await;
+                });
+            }
+        }
+    }
+
+    /// Returns the records of a model that the store should hold; `None` if it
+    /// holds all that this entry host knows.
+    fn missing_records(
+        &self,
+        named: &NamedWeights,
+    ) -> Option<Vec<NamingRecord>> {
+        let gateway = self.gateway.borrow();
+        let (now, unix_now) = (now_ms(), unix_ms());
+        let all = gateway.versions().find(|(name, _)| **name == named.model);
+        let heard = all.into_iter().flat_map(|(_, versions)| versions);
+        let heard = heard.filter(|known| {
+            let basis = gateway.naming_basis(&named.model, known.version);
+            basis == Some(NamingBasis::Heard)
+        });
+        let is_stored = |version: u64| {
+            named.records.iter().any(|record| record.version == version)
+        };
+        let missing: Vec<NamingRecord> = heard
+            .filter(|known| !is_stored(known.version))
+            .map(|known| NamingRecord {
+                version: known.version,
+                unix_ms: unix_now - now.saturating_sub(known.named_ms),
+            })
+            .collect();
+        if missing.is_empty() {
+            return None;
+        }
+        let mut records = named.records.clone();
+        records.extend(missing);
+        records.sort_unstable_by_key(|record| record.version);
+        let surplus = records.len().saturating_sub(MAX_RECORDS);
+        Some(records.split_off(surplus))
+    }
+
+    /// Returns whether this entry host writes the records of a model now. The
+    /// first time it waits for a random time, so that not all watchers write.
+    fn claim_naming_write(&self, model: &Name) -> bool {
+        let now = now_ms();
+        let mut writes_ms = self.naming_writes_ms.borrow_mut();
+        let is_stale = |at_ms: u64| now > at_ms + WRITE_PAUSE_MS;
+        let due_ms = writes_ms.get(model).copied();
+        match due_ms.filter(|at_ms| !is_stale(*at_ms)) {
+            Some(due_ms) if now < due_ms => false,
+            Some(_) => {
+                writes_ms.insert(model.clone(), now + WRITE_PAUSE_MS);
+                true
+            }
+            None => {
+                let delay_ms = rand::random_range(0..MAX_WRITE_DELAY_MS);
+                writes_ms.insert(model.clone(), now + delay_ms);
+                false
+            }
+        }
+    }
+
+    async fn write_naming_records(
+        &self,
+        model: &str,
+        records: &[NamingRecord],
+    ) {
+        self.metrics.add("store_calls_total", "", 1);
+        let written = self.platform.put_naming_records(model, records).await;
+        if let Err(failure) = written {
+            log::info!("writing the namings of {model}: {failure:?}");
+        }
+    }
+}
--- a/crates/raildale/src/fleet/entry/peers.rs
+++ b/crates/raildale/src/fleet/entry/peers.rs
@@ -175,6 +175,7 @@
         host.sweep();
         host.publish_quarantine_changes();
         culprits::reconcile_records(&host);
+        host.reconcile_naming_records();
         log_liveness_changes(&host);
         let due = host.briefing_due.notified();
         // Woken early when other processes must learn of a change.
