--- a/crates/raildale-core/src/members/concentration.rs
+++ b/crates/raildale-core/src/members/concentration.rs
@@ -9,25 +9,13 @@
 
 use std::{cmp::Reverse, net::IpAddr};
 
-/// The mean numbers of slots per entry host between which the state of
-/// concentration stays as it is.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Band {
-    /// Concentration begins below this number.
-    begin: f64,
-    /// Concentration ends at this number.
-    end: f64,
-}
-
-impl Band {
-    /// The usual band. With 6 slots at 80% load, one request in six finds all
-    /// of them taken (Erlang B); with 12, one in ten.
-    pub const USUAL: Band = Band { begin: 6.0, end: 12.0 };
+/// Concentration begins below this mean number of slots per entry host. With
+/// so few at 80% load, one request in six finds all of them taken (Erlang B).
+const MIN_SLOTS_PER_HOST: f64 = 6.0;
 
-    /// The band where requests have ranks. Ranks decide among requests that
-    /// meet at one entry host, so that more of them have to.
-    pub const RANKED: Band = Band { begin: 12.0, end: 24.0 };
-}
+/// Concentration ends at this mean number of slots per entry host, at which
+/// it is one request in ten.
+const ENOUGH_SLOTS_PER_HOST: f64 = 12.0;
 
 /// How long slots must have been too few before concentration begins, in
 /// milliseconds: while a fleet starts, or a store recovers, its targets are
@@ -89,16 +77,16 @@
         &mut self,
         now_ms: u64,
         slots_per_host: f64,
-        band: Band,
         is_heard: bool,
     ) -> bool {
-        let is_few = slots_per_host < band.begin;
+        let is_few = slots_per_host < MIN_SLOTS_PER_HOST;
         self.few_since_ms =
             is_few.then(|| self.few_since_ms.unwrap_or(now_ms));
         let is_settled = self
             .few_since_ms
             .is_some_and(|since_ms| now_ms >= since_ms + SETTLE_MS);
-        let stays_on = slots_per_host < band.end && (self.is_on || is_heard);
+        let stays_on =
+            slots_per_host < ENOUGH_SLOTS_PER_HOST && (self.is_on || is_heard);
         let is_on = is_settled || stays_on;
         std::mem::replace(&mut self.is_on, is_on) != is_on
     }
--- a/crates/raildale-core/src/members/mod.rs
+++ b/crates/raildale-core/src/members/mod.rs
@@ -13,7 +13,7 @@
 
 use std::{collections::BTreeMap, net::IpAddr};
 
-use self::concentration::{Band, Candidate, CentreLoad, Concentration};
+use self::concentration::{Candidate, CentreLoad, Concentration};
 use crate::{
     Name,
     catalog::{Extent, Kind, Stamp},
@@ -311,18 +311,13 @@
 
     /// Decides whether callers are named only some entry hosts, given the
     /// slots of all targets. Returns whether that changed.
-    pub fn update_concentration(
-        &mut self,
-        now_ms: u64,
-        slots: f64,
-        band: Band,
-    ) -> bool {
+    pub fn update_concentration(&mut self, now_ms: u64, slots: f64) -> bool {
         let is_heard = self.others.values().any(|member| {
             let heard = heartbeat_within(member, now_ms, SILENT_MS);
             heard.is_some_and(|beat| beat.is_concentrating)
         });
         let slots_per_host = slots / (self.others.len() + 1) as f64;
-        self.concentration.update(now_ms, slots_per_host, band, is_heard)
+        self.concentration.update(now_ms, slots_per_host, is_heard)
     }
 
     /// Returns whether callers are named only some entry hosts.
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -31,7 +31,7 @@
         Fingerprint, Gateway, GatewayConfig, evacuations::Evacuations,
         retry_budget::RetryBound, routes::Limits,
     },
-    members::{MemberEntry, Members, concentration::Band},
+    members::{MemberEntry, Members},
 };
 use tokio::sync::watch;
 
@@ -234,14 +234,9 @@
 
     /// Decides anew whether callers are named only some entry hosts.
     pub fn update_concentration(&self) {
-        let gateway = self.gateway.borrow();
-        let slots = gateway.model_slots(None);
-        let is_ranked =
-            gateway.routing().is_some_and(|r| r.has_ranked_models());
-        drop(gateway);
-        let band = if is_ranked { Band::RANKED } else { Band::USUAL };
+        let slots = self.gateway.borrow().model_slots(None);
         let mut members = self.members.borrow_mut();
-        if !members.update_concentration(now_ms(), slots, band) {
+        if !members.update_concentration(now_ms(), slots) {
             return;
         }
         let is_on = members.is_concentrating();
