Cold targets get the rate that they bear, and agents no guessed ages

Cold targets: the configuration tells the rate that a cold target bears and the list for how long it stays cold; both were read by nobody. gateway/cold.rs deals that rate out by tokens that all entry hosts work out alike; for a second after the cold time the rate is doubled. Services without a rate are as before.

Agents: an entry host that starts dates versions by a guess or a record, which is 2 s early, until another one tells. Agents change over by the ages that they are told, so that they get no guess (age 0) and the record's own time.

--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -323,7 +323,8 @@
         request.tried.push(dispatch.target.clone());
         request.sent_to = Some(start);
         self.targets.record_sent(&dispatch.target);
-        self.targets.use_token(now_ms, &dispatch.target);
+        let cold_rate = request.service.cold_rate_per_s;
+        self.targets.use_token(now_ms, &dispatch.target, cold_rate);
         if let Some(fingerprint) = request.fingerprint {
             self.quarantine.record_sent(fingerprint);
         }
@@ -387,6 +388,7 @@
             data_centre: &self.config.data_centre,
             bounds,
             needs_weights: engine.is_some_and(|e| e.layer_count > 0),
+            cold_rate_per_s: request.service.cold_rate_per_s,
             tried: &request.tried,
             regions: &self.config.regions,
             residency: Residency {
--- a/crates/raildale-core/src/gateway/mod.rs
+++ b/crates/raildale-core/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 //! * [`evacuations`]: data centres whose targets must get nothing.
 //! * [`shares`]: the part of each target's slots that this entry host owns.
 //! * [`lapse`]: targets that left the list during a store outage.
+//! * [`cold`]: targets that bear only a rate of requests after a start.
 //! * [`decaying_sum`]: exponentially decaying means and rates.
 //! * [`request`]: an admitted request and the decisions made about it.
 //! * [`admission`]: whether a request is sent, waits or is refused.
@@ -27,6 +28,7 @@
 //! * [`fingerprint`]: identity of a request across its tries.
 
 pub mod admission;
+pub mod cold;
 pub mod decaying_sum;
 pub mod evacuations;
 pub mod event_stream;
--- a/crates/raildale-core/src/gateway/notices/mod.rs
+++ b/crates/raildale-core/src/gateway/notices/mod.rs
@@ -228,7 +228,8 @@
         self.sent.get(&start).map_or(0, |sent| sent.count(now_ms))
     }
 
-    fn time_of_day_s(&self, now_ms: u64) -> f64 {
+    /// Returns the time of day in seconds.
+    pub(in crate::gateway) fn time_of_day_s(&self, now_ms: u64) -> f64 {
         now_ms.saturating_add_signed(self.time_of_day_ms) as f64 / 1e3
     }
 }
--- a/crates/raildale-core/src/gateway/notices/quota.rs
+++ b/crates/raildale-core/src/gateway/notices/quota.rs
@@ -63,7 +63,17 @@
     /// rounded to a time before it, so that the same token would be found
     /// again.
     pub fn token(&self, now_s: f64, after_s: f64) -> Option<f64> {
-        let from_s = after_s.max(now_s - TOKEN_LIFETIME_S);
+        self.token_within(now_s, after_s, TOKEN_LIFETIME_S)
+    }
+
+    /// Does the same with tokens that may be used for `lifetime_s`.
+    pub fn token_within(
+        &self,
+        now_s: f64,
+        after_s: f64,
+        lifetime_s: f64,
+    ) -> Option<f64> {
+        let from_s = after_s.max(now_s - lifetime_s);
         let last = (now_s * self.per_s) as u64;
         let first = (from_s * self.per_s) as u64 + 1;
         let first = first.max(last.saturating_sub(MAX_TOKENS_SEARCHED));
--- a/crates/raildale-core/src/gateway/routes.rs
+++ b/crates/raildale-core/src/gateway/routes.rs
@@ -101,6 +101,9 @@
     pub max_connections: u32,
     /// The engine's figures if its targets run a model engine.
     pub engine: Option<EngineSpec>,
+    /// The requests per second that a cold target bears; 0 if that does not
+    /// matter.
+    pub cold_rate_per_s: f64,
     /// The origin's address if the service is an origin of weights.
     pub origin: Option<SocketAddr>,
 }
@@ -270,12 +273,6 @@
         range.is_some_and(|(lowest, highest)| lowest < highest)
     }
 
-    /// Returns whether the requests of any service with an engine have ranks.
-    pub fn has_ranked_models(&self) -> bool {
-        let mut models = self.services().filter(|s| s.engine.is_some());
-        models.any(|service| self.is_ranked(&service.name))
-    }
-
     /// Returns the regions to which a route of an HTTP host limits its
     /// requests; empty if none does.
     pub fn bound_regions(&self, host: &str) -> Vec<Name> {
--- a/crates/raildale-core/src/gateway/target.rs
+++ b/crates/raildale-core/src/gateway/target.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use super::{
+    cold::ColdTime,
     decaying_sum::DecayingSum,
     lapse::Lapse,
     target_end::{EndSign, StartId, TargetEnd},
@@ -30,6 +31,8 @@
     /// The version whose weights it serves completely; `None` if the entry
     /// names none.
     pub serves_version: Option<u64>,
+    /// Milliseconds for which it stays cold, from when the entry was written.
+    pub cold_ms: u64,
     /// The last change of the entry in the store.
     pub stamp: Stamp,
 }
@@ -123,6 +126,8 @@
     missing_since_ms: u64,
     /// The longest recent round-trip time and when it was measured.
     worst_round_trip: (u64, u64),
+    /// For how long it is cold.
+    pub cold: ColdTime,
     /// Set while the entry is missing from the list because of a store outage.
     pub lapse: Option<Lapse>,
 }
@@ -220,6 +225,7 @@
             was_agent_up: false,
             missing_since_ms: 0,
             worst_round_trip: (0, 0),
+            cold: ColdTime::default(),
             lapse: None,
         }
     }
--- a/crates/raildale-core/src/gateway/targets/mod.rs
+++ b/crates/raildale-core/src/gateway/targets/mod.rs
@@ -70,6 +70,9 @@
     /// Whether the request can no longer meet its goal: those that can go
     /// first.
     pub is_late: bool,
+    /// The requests per second that a cold target of the service bears; 0 if
+    /// that does not matter.
+    pub cold_rate_per_s: f64,
     /// The ids of the targets that had the request before.
     pub tried: &'a [Name],
     /// The regions of the data centres.
@@ -518,7 +521,9 @@
         }
         // A limit applies to all entry hosts together, and a retry time holds
         // whatever slots are free.
-        if !self.is_admitted(now_ms, target) {
+        if !self.is_admitted(now_ms, target)
+            || !self.bears_another(now_ms, target, need.cold_rate_per_s)
+        {
             return false;
         }
         let slots = f64::from(target.spec.slots);
--- a/crates/raildale-core/src/gateway/targets/notice_limits.rs
+++ b/crates/raildale-core/src/gateway/targets/notice_limits.rs
@@ -13,13 +13,47 @@
 
 impl Targets {
     /// Counts a request sent to a target against the limit that the target
-    /// names.
-    pub fn use_token(&mut self, now_ms: u64, id: &str) {
-        let Some(target) = self.by_id.get(id) else { return };
-        let part = own_part(&self.parts, self.alive_share(), target);
+    /// names, and against the rate that it bears while it is cold.
+    pub fn use_token(&mut self, now_ms: u64, id: &str, cold_rate_per_s: f64) {
+        let alive_share = self.alive_share();
+        let Some(target) = self.by_id.get_mut(id) else { return };
+        let now_s = self.notices.time_of_day_s(now_ms);
+        if let Some(rate) = target.cold.rate_per_s(now_ms, cold_rate_per_s) {
+            let part = own_part(&self.parts, alive_share, target)();
+            target.cold.record_sent(now_s, target.start, rate, part);
+        }
+        let part = own_part(&self.parts, alive_share, target);
         self.notices.record_sent(now_ms, target.start, part);
     }
 
+    /// Returns whether a target that may be cold bears one more request of
+    /// this entry host.
+    pub(super) fn bears_another(
+        &self,
+        now_ms: u64,
+        target: &Target,
+        cold_rate_per_s: f64,
+    ) -> bool {
+        let rate = target.cold.rate_per_s(now_ms, cold_rate_per_s);
+        rate.is_none_or(|rate| {
+            let part = own_part(&self.parts, self.alive_share(), target)();
+            let now_s = self.notices.time_of_day_s(now_ms);
+            target.cold.admits(now_s, target.start, rate, part)
+        })
+    }
+
+    /// Records for how long a target stays cold. Returns whether it has turned
+    /// cold.
+    pub fn record_cold(
+        &mut self,
+        now_ms: u64,
+        id: &str,
+        cold_ms: u64,
+    ) -> bool {
+        let target = self.by_id.get_mut(id);
+        target.is_some_and(|target| target.cold.record(now_ms, cold_ms))
+    }
+
     /// Returns whether a target's notices allow one more request of this entry
     /// host.
     pub(super) fn is_admitted(&self, now_ms: u64, target: &Target) -> bool {
--- a/crates/raildale-core/src/gateway/versions.rs
+++ b/crates/raildale-core/src/gateway/versions.rs
@@ -86,6 +86,25 @@
         is_known.then_some(basis)
     }
 
+    /// Returns the age of a known version to tell agents, in milliseconds.
+    /// They change over by it, so that it must not be exaggerated: a guess
+    /// counts as new, and a record as exact.
+    pub fn told_age_ms(
+        &self,
+        now_ms: u64,
+        model: &Name,
+        named: NamedVersion,
+    ) -> u64 {
+        let age_ms = now_ms.saturating_sub(named.named_ms);
+        match self.naming_basis(model, named.version) {
+            Some(NamingBasis::Assumed) | None => 0,
+            Some(NamingBasis::Recorded) => {
+                age_ms.saturating_sub(RECORD_ERROR_MS)
+            }
+            Some(NamingBasis::Heard) => age_ms,
+        }
+    }
+
     fn forget_version(&mut self, model: &Name, version: u64) {
         if let Some(known) = self.versions.get_mut(model) {
             known.retain(|named| named.version != version);
--- a/crates/raildale-core/src/log_event.rs
+++ b/crates/raildale-core/src/log_event.rs
@@ -70,6 +70,7 @@
     StoreOlder = 311, Warn, "the store returned an older state of a kind than is known";
     StoreKept = 312, Info, "objects of a kind were kept because the restored store has older ones";
     Evacuation = 313, Alarm, "an evacuation of a data centre began, ended or was lost by the store";
+    TargetCold = 314, Info, "a target is cold and gets only the rate that it bears";
     SpreadJoined = 400, Info, "a version is wanted and its spread was joined";
     SpreadWhole = 401, Info, "every chunk of a version is verified";
     SpreadDropped = 402, Info, "a version is no longer wanted";
--- a/crates/raildale-core/tests/free_slots.rs
+++ b/crates/raildale-core/tests/free_slots.rs
@@ -81,6 +81,7 @@
             slots: SLOTS,
             is_draining: false,
             serves_version: Some(1),
+            cold_ms: 0,
             stamp: Stamp::new(0, 1),
         });
     }
--- a/crates/raildale-core/tests/gateway.rs
+++ b/crates/raildale-core/tests/gateway.rs
@@ -94,6 +94,7 @@
         is_draining: false,
         born_ms: None,
         serves_version: version,
+        cold_ms: 0,
         stamp: Stamp::new(0, 1),
     }
 }
@@ -1194,12 +1195,19 @@
 fn a_naming_is_dated_by_the_best_that_is_known() {
     let mut gateway = gateway();
     let model = Name::from("m");
+    let told_age_ms = |gateway: &Gateway| {
+        let named = gateway.versions().find(|(name, _)| **name == model);
+        let (_, named) = named.expect("the model is known");
+        gateway.told_age_ms(START_MS, &model, named[0])
+    };
     gateway.record_unheard_version(START_MS, &model, 2, None);
     assert_eq!(gateway.min_version(START_MS, "m", 0), 2);
+    assert_eq!(told_age_ms(&gateway), 0, "agents are not hurried");
     let recorded_age = Some(VERSION_MS - 3_000);
     gateway.record_unheard_version(START_MS, &model, 2, recorded_age);
     assert_eq!(gateway.min_version(START_MS, "m", 0), 0);
     assert_eq!(gateway.min_version(START_MS, "m", 1_000), 2);
+    assert_eq!(told_age_ms(&gateway), VERSION_MS - 3_000);
     gateway.record_unheard_version(START_MS, &model, 2, None);
     assert_eq!(gateway.min_version(START_MS, "m", 0), 0);
     assert_eq!(gateway.bounding_versions(START_MS), []);
--- a/crates/raildale-core/tests/notices_world/mod.rs
+++ b/crates/raildale-core/tests/notices_world/mod.rs
@@ -105,6 +105,7 @@
         slots: SLOTS,
         is_draining: false,
         serves_version: Some(1),
+        cold_ms: 0,
         stamp: Stamp::new(0, 1),
     }
 }
--- a/crates/raildale-core/tests/places.rs
+++ b/crates/raildale-core/tests/places.rs
@@ -92,6 +92,7 @@
         is_draining: false,
         born_ms: None,
         serves_version: None,
+        cold_ms: 0,
         stamp: Stamp::new(0, 1),
     });
     let report = TargetReport {
--- a/crates/raildale-core/tests/target_leaving.rs
+++ b/crates/raildale-core/tests/target_leaving.rs
@@ -87,6 +87,7 @@
         slots: 4,
         is_draining: false,
         serves_version: Some(1),
+        cold_ms: 0,
         stamp: Stamp::new(0, 1),
     }
 }
--- a/crates/raildale-testkit/src/load/world.rs
+++ b/crates/raildale-testkit/src/load/world.rs
@@ -764,6 +764,7 @@
         is_draining: false,
         born_ms: None,
         serves_version: Some(VERSION),
+        cold_ms: 0,
         stamp,
     }
 }
--- a/crates/raildale/src/fleet/entry/briefings.rs
+++ b/crates/raildale/src/fleet/entry/briefings.rs
@@ -258,10 +258,10 @@
     gateway
         .versions()
         .filter(|(model, _)| models.contains(model))
-        .flat_map(|(_, versions)| versions)
-        .map(|v| VersionAge {
-            version: v.version,
-            age_ms: now.saturating_sub(v.named_ms),
+        .flat_map(|(model, versions)| versions.iter().map(move |v| (model, v)))
+        .map(|(model, named)| VersionAge {
+            version: named.version,
+            age_ms: gateway.told_age_ms(now, model, *named),
         })
         .collect()
 }
--- a/crates/raildale/src/fleet/entry/host/changes.rs
+++ b/crates/raildale/src/fleet/entry/host/changes.rs
@@ -328,8 +328,18 @@
             "target={} address={} draining={} version={:?}",
             spec.id, spec.address, spec.is_draining, spec.serves_version
         );
-        self.gateway.borrow_mut().targets.put(spec);
+        let (id, cold_ms) = (spec.id.clone(), spec.cold_ms);
+        let mut gateway = self.gateway.borrow_mut();
+        gateway.targets.put(spec);
+        let has_turned_cold =
+            gateway.targets.record_cold(now_ms(), &id, cold_ms);
+        drop(gateway);
         self.log(LogEvent::TargetListed, &detail);
+        if has_turned_cold {
+            self.metrics.add("targets_cold_total", "", 1);
+            let detail = format!("target={id} cold_ms={cold_ms}");
+            self.log(LogEvent::TargetCold, &detail);
+        }
         self.handle_ended_targets();
     }
 
