--- a/crates/raildale-core/src/gateway/ranks.rs
+++ b/crates/raildale-core/src/gateway/ranks.rs
@@ -41,10 +41,9 @@
     }
 }
 
-/// One request in this many is taken without regard to ranks. A rank that
-/// others press is thus served at an eighth of the rate at least, which is
-/// half of what a third of the requests needs in order not to fall below a
-/// quarter of the mean.
+/// One request in this many is taken without regard to ranks. With an eighth
+/// of what is sent, a rank with half of all requests is still served at a
+/// quarter of the mean rate.
 const UNRANKED_TURN: u32 = 8;
 
 /// Counts the requests that are taken from a queue.
--- a/crates/raildale-core/src/gateway/shares.rs
+++ b/crates/raildale-core/src/gateway/shares.rs
@@ -22,8 +22,8 @@
 /// get some before the next heartbeat.
 const MIN_DEMAND: f64 = 0.5;
 
-/// The same where callers are concentrated: dozens of entry hosts that get
-/// requests only by chance must not own a tenth of the slots.
+/// The minimum demand where callers are concentrated: dozens of entry hosts
+/// that get requests only by chance must not own a tenth of the slots.
 const IDLE_DEMAND: f64 = 0.05;
 
 /// The entry hosts, in the same order on all of them.
@@ -40,29 +40,32 @@
 impl Shares {
     /// Creates the shares of `senders`, of which this host has index `own`.
     pub fn new(senders: Vec<Sender>, own: usize) -> Shares {
-        let near_count = senders.get(own).map_or(0, |own| {
-            let is_near = |s: &&Sender| s.data_centre == own.data_centre;
-            senders.iter().filter(is_near).count()
-        });
-        Shares { senders, own, near_count, min_demand: 0.0 }
+        let shares = Shares { senders, own, near_count: 0, min_demand: 0.0 };
+        Shares { near_count: shares.count_near(), ..shares }
     }
 
     /// Returns the shares if entry hosts without requests leave targets to the
     /// others, as they do where callers are concentrated on some.
     pub fn among_active(self) -> Shares {
-        let min_demand = MIN_DEMAND;
-        let competes = |(index, sender): &(usize, &Sender)| -> bool {
-            *index == self.own || sender.demand >= min_demand
-        };
-        let own = self.senders.get(self.own);
-        let near_count = own.map_or(0, |own| {
-            let is_near = |(_, sender): &(usize, &Sender)| {
-                sender.data_centre == own.data_centre
-            };
-            let senders = self.senders.iter().enumerate();
-            senders.filter(is_near).filter(competes).count()
+        let shares = Shares { min_demand: MIN_DEMAND, ..self };
+        Shares { near_count: shares.count_near(), ..shares }
+    }
+
+    /// Returns the entry hosts that compete for targets.
+    fn competing(&self) -> impl Iterator<Item = &Sender> {
+        let senders = self.senders.iter().enumerate();
+        let competing = senders.filter(|(index, sender)| {
+            *index == self.own || sender.demand >= self.min_demand
         });
-        Shares { near_count, min_demand, ..self }
+        competing.map(|(_, sender)| sender)
+    }
+
+    fn count_near(&self) -> usize {
+        let own = self.senders.get(self.own);
+        own.map_or(0, |own| {
+            let is_near = |s: &&Sender| s.data_centre == own.data_centre;
+            self.competing().filter(is_near).count()
+        })
     }
 
     /// Returns the index of this entry host.
@@ -72,11 +75,7 @@
 
     /// Returns the number of entry hosts that compete for targets.
     pub fn competitor_count(&self) -> usize {
-        let senders = self.senders.iter().enumerate();
-        let competes = |(index, sender): &(usize, &Sender)| {
-            *index == self.own || sender.demand >= self.min_demand
-        };
-        senders.filter(competes).count()
+        self.competing().count()
     }
 
     /// Returns the number of entry hosts.
