--- a/crates/raildale-core/src/members/concentration.rs
+++ b/crates/raildale-core/src/members/concentration.rs
@@ -93,7 +93,8 @@
 }
 
 /// Returns the entry hosts of a data centre that are named to its callers,
-/// those with most processor time first. All entry hosts return the same.
+/// those with most processor time first. Entry hosts that know the same
+/// candidates and load return the same.
 pub fn named(mut candidates: Vec<Candidate>, load: CentreLoad) -> Vec<IpAddr> {
     candidates.sort_unstable_by_key(|candidate| {
         (Reverse(candidate.cpu_millis), candidate.ip)
--- a/crates/raildale-core/src/members/mod.rs
+++ b/crates/raildale-core/src/members/mod.rs
@@ -373,7 +373,7 @@
 
     /// Returns the addresses for callers in a data centre whose requests are
     /// bound to regions: entry hosts in the caller's own region or, while none
-    /// is open there, in one of `bound`. If those have none either, all may
+    /// is open there, in one of the allowed. If those have none either, all may
     /// serve.
     pub fn addresses_in_regions(
         &self,
