Less urgent requests leave slots to the urgent at every entry host

Change: a rank is sent while the utilisation of the service's targets, which all entry hosts know from the same reports, is below a level that falls with the share of the demand that is more urgent. The load model carries the reports of a digest in one event, so that 550 entry hosts can be simulated.

Conclusion: the signal has to be common to all entry hosts, not each one's own.

--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -216,7 +216,7 @@
         let host_count = self.known_entry_hosts;
         self.budget(&service.name).record_request(host_count);
         self.arrivals.add(now_ms, 1.0);
-        Ok(Admission {
+        let admission = Admission {
             fingerprints: None,
             due_ms: now_ms + held_ms.saturating_sub(ANSWER_MARGIN_MS),
             is_retry: (left_ms as f64)
@@ -235,7 +235,9 @@
             last_event_ms: None,
             has_begun: false,
             may_have_run: false,
-        })
+        };
+        self.wait_queues.record_arrival(now_ms, &admission);
+        Ok(admission)
     }
 
     /// Decides what to do with a request now. On [`Next::Wait`], call this
@@ -286,7 +288,14 @@
             return self.refuse_displaced(request, obstacle);
         }
         let is_late = need.is_late;
-        let picked = match self.wait_queues.is_next(now_ms, request) {
+        let utilisation = self.targets.utilisation(&request.service.name);
+        let is_next = self.wait_queues.is_next(now_ms, request)
+            && !self.wait_queues.leaves_to_urgent(
+                now_ms,
+                request,
+                utilisation,
+            );
+        let picked = match is_next {
             true => self.targets.pick(now_ms, need, draw),
             false => None,
         };
--- a/crates/raildale-core/src/gateway/ranks.rs
+++ b/crates/raildale-core/src/gateway/ranks.rs
@@ -8,8 +8,20 @@
 //! The more urgent wait in front. So that nobody starves however many urgent
 //! requests there are, every [`UNRANKED_TURN`]th request that is sent while
 //! others wait is taken by the time of its goal alone.
+//!
+//! The order alone decides little where an entry host has few requests: hardly
+//! any two of them meet in its queue. So the less urgent also leave some slots
+//! free for the more urgent, as in trunk reservation. Up to which utilisation
+//! of all targets a rank is sent depends on how much of the demand is more
+//! urgent. All entry hosts know the same utilisation, so that they agree on
+//! who is sent however few requests each of them has.
+
+use std::collections::BTreeMap;
 
-use super::routes::{Organisation, Route, Routing, Service};
+use super::{
+    decaying_sum::DecayingSum,
+    routes::{Organisation, Route, Routing, Service},
+};
 
 /// The rank of a request; lower ones are more urgent.
 #[derive(
@@ -66,3 +78,38 @@
         }
     }
 }
+
+/// Half-life of a request's weight in the demand by rank, in milliseconds. It
+/// changes slowly, and an entry host may get only one request a second.
+const RANK_DEMAND_HALF_LIFE_MS: f64 = 10_000.0;
+
+/// The share of all slots that the least urgent rank leaves free if nearly all
+/// of the demand is more urgent.
+const URGENT_RESERVE_SHARE: f64 = 0.25;
+
+/// The recent requests of a service by rank.
+#[derive(Clone, Debug, Default)]
+pub struct RankDemand {
+    by_rank: BTreeMap<Rank, DecayingSum>,
+}
+
+impl RankDemand {
+    /// Counts a request.
+    pub fn record(&mut self, now_ms: u64, rank: Rank) {
+        self.by_rank
+            .entry(rank)
+            .or_insert_with(|| DecayingSum::new(RANK_DEMAND_HALF_LIFE_MS))
+            .add(now_ms, 1.0);
+    }
+
+    /// Returns the utilisation of the targets up to which requests of a rank
+    /// are sent, from 0 to 1; `None` if no other requests are more urgent.
+    pub fn max_utilisation(&self, now_ms: u64, rank: Rank) -> Option<f64> {
+        let rate = |demand: &DecayingSum| demand.rate_per_s(now_ms);
+        let all: f64 = self.by_rank.values().map(rate).sum();
+        let more_urgent: f64 =
+            self.by_rank.range(..rank).map(|(_, demand)| rate(demand)).sum();
+        (more_urgent > 0.0)
+            .then(|| 1.0 - URGENT_RESERVE_SHARE * more_urgent / all)
+    }
+}
--- a/crates/raildale-core/src/gateway/targets/mod.rs
+++ b/crates/raildale-core/src/gateway/targets/mod.rs
@@ -46,6 +46,9 @@
     pub departed: Departed,
     /// When this entry host's own slots were last computed, by service.
     shares_updated_ms: HashMap<Name, u64>,
+    /// The share of the open targets' slots that are taken, by service; as of
+    /// when own slots were last computed.
+    utilisations: HashMap<Name, f64>,
     /// Starts that have ended since the last call of [`Targets::take_ends`].
     ended: Vec<TargetEnd>,
     /// The last start at each address that is no longer listed. The next start
@@ -176,6 +179,23 @@
                 parts.own_slots(&spec.data_centre, spec.slots, place);
         }
         self.parts.insert(service.name.clone(), parts);
+        let utilisation = self.measure_utilisation(now_ms, &service.name);
+        self.utilisations.insert(service.name.clone(), utilisation);
+    }
+
+    /// Returns the share of the slots of a service's open targets that are
+    /// taken, as of the last [`Targets::update_own_slots`]; requests queued at
+    /// targets can make it more than 1.
+    pub fn utilisation(&self, service: &str) -> f64 {
+        self.utilisations.get(service).copied().unwrap_or(0.0)
+    }
+
+    fn measure_utilisation(&self, now_ms: u64, service: &str) -> f64 {
+        let open =
+            || self.of_service(service).filter(|t| self.is_open(t, now_ms));
+        let load: f64 = open().map(|t| t.load(now_ms, 1.0)).sum();
+        let slots: f64 = open().map(|t| f64::from(t.spec.slots)).sum();
+        if slots > 0.0 { load / slots } else { 0.0 }
     }
 
     /// Returns the slots of a service's open targets by data centre.
--- a/crates/raildale-core/src/gateway/waiting.rs
+++ b/crates/raildale-core/src/gateway/waiting.rs
@@ -11,7 +11,7 @@
 
 use super::{
     decaying_sum::DecayingSum,
-    ranks::Turns,
+    ranks::{RankDemand, Turns},
     request::{Admission, MIN_RETRY_AFTER_MS, QueueKey, QueueKind},
     routes::RouteKind,
 };
@@ -35,6 +35,8 @@
     late: BTreeSet<QueueKey>,
     /// Whose turn it is, where requests have ranks.
     turns: Turns,
+    /// The recent requests by rank.
+    rank_demand: RankDemand,
     /// Late requests that were sent to a target.
     late_sent: DecayingSum,
     /// Time from sending a request to its first event, in milliseconds.
@@ -103,6 +105,7 @@
             in_time: BTreeSet::new(),
             late: BTreeSet::new(),
             turns: Turns::default(),
+            rank_demand: RankDemand::default(),
             late_sent: DecayingSum::new(QUEUE_HALF_LIFE_MS),
             first_event_ms: DecayingSum::new(QUEUE_HALF_LIFE_MS),
         }
@@ -215,6 +218,28 @@
         }
     }
 
+    /// Records that a request has arrived.
+    pub fn record_arrival(&mut self, now_ms: u64, request: &Admission) {
+        let queue = self.queues.entry(request.service.name.clone());
+        queue.or_default().rank_demand.record(now_ms, request.rank);
+    }
+
+    /// Returns whether a request leaves the free slots to more urgent ones,
+    /// given the utilisation of the service's targets. One in several is
+    /// taken without regard to ranks.
+    pub fn leaves_to_urgent(
+        &self,
+        now_ms: u64,
+        request: &Admission,
+        utilisation: f64,
+    ) -> bool {
+        let Some(queue) = self.queues.get(&request.service.name) else {
+            return false;
+        };
+        let max = queue.rank_demand.max_utilisation(now_ms, request.rank);
+        !queue.turns.is_unranked() && max.is_some_and(|max| utilisation > max)
+    }
+
     /// Records that a request was sent to a target.
     pub fn record_sent(&mut self, now_ms: u64, request: &Admission) {
         if let Some(queue) = self.queues.get_mut(&request.service.name) {
--- a/crates/raildale-testkit/src/load/reports.rs
+++ b/crates/raildale-testkit/src/load/reports.rs
@@ -1,5 +1,7 @@
 //! Reports, digests and heartbeats sent to entry hosts, with their latencies.
 
+use std::rc::Rc;
+
 use raildale_core::gateway::{
     TargetReport,
     shares::{Sender, Shares},
@@ -7,8 +9,8 @@
 use rand::RngExt;
 
 use super::world::{
-    Event, HEARTBEAT_MS, LOCAL_LATENCY_MS, TargetHost, VERSION, World,
-    data_centre_name, target_id,
+    Event, HEARTBEAT_MS, LOCAL_LATENCY_MS, RelayedReport, TargetHost, VERSION,
+    World, data_centre_name, target_id,
 };
 
 impl World<'_> {
@@ -84,32 +86,45 @@
         let Some(every_ms) = fleet.digest_every_ms else { return };
         let (report_ms, crossing_ms) =
             (fleet.report_every_ms, fleet.crossing_ms);
+        let mut ages_ms = Vec::new();
         for target in 0..self.targets.len() {
-            if self.targets[target].data_centre != centre {
-                continue;
-            }
-            let age_ms = self.rng.random::<f64>() * report_ms;
-            let at_ms = self.clock_ms() - age_ms as u64;
-            for host in 0..self.hosts.len() {
-                let is_near = self.hosts[host].data_centre == centre;
-                // In other data centres an entry host relays the digest.
-                let latency_ms = match is_near {
-                    true => LOCAL_LATENCY_MS,
-                    false => crossing_ms + LOCAL_LATENCY_MS,
-                };
-                let known = &self.targets[target];
-                let report = known.report(every_ms as u32, latency_ms);
-                let received = Event::RelayedReportReceived {
-                    host,
-                    target,
-                    at_ms,
-                    report,
-                };
-                self.schedule(latency_ms, received);
+            if self.targets[target].data_centre == centre {
+                let age_ms = self.rng.random::<f64>() * report_ms;
+                ages_ms.push((target, age_ms as u64));
             }
         }
+        // In other data centres an entry host relays the digest.
+        let far_ms = crossing_ms + LOCAL_LATENCY_MS;
+        let [near, far] = [LOCAL_LATENCY_MS, far_ms].map(|latency_ms| {
+            let reports = self.relayed_reports(&ages_ms, latency_ms);
+            (latency_ms, reports)
+        });
+        for host in 0..self.hosts.len() {
+            let is_near = self.hosts[host].data_centre == centre;
+            let (latency_ms, reports) = if is_near { &near } else { &far };
+            let reports = reports.clone();
+            let received = Event::DigestReceived { host, reports };
+            self.schedule(*latency_ms, received);
+        }
         self.schedule(every_ms, Event::DigestDue(centre));
     }
+
+    /// Returns the reports of targets, with their ages, as entry hosts at a
+    /// latency of `latency_ms` receive them in a digest.
+    fn relayed_reports(
+        &self,
+        ages_ms: &[(usize, u64)],
+        latency_ms: f64,
+    ) -> Rc<[RelayedReport]> {
+        let every_ms = self.pattern.fleet.digest_every_ms.unwrap_or(0.0);
+        let now_ms = self.clock_ms();
+        let relayed = |(target, age_ms): &(usize, u64)| RelayedReport {
+            at_ms: now_ms - age_ms,
+            target: *target,
+            report: self.targets[*target].report(every_ms as u32, latency_ms),
+        };
+        ages_ms.iter().map(relayed).collect()
+    }
 }
 
 impl TargetHost {
--- a/crates/raildale-testkit/src/load/world.rs
+++ b/crates/raildale-testkit/src/load/world.rs
@@ -4,6 +4,7 @@
     cmp::Reverse,
     collections::BinaryHeap,
     net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
 };
 
 use raildale_core::{
@@ -79,14 +80,8 @@
     ReportReceived { host: usize, target: usize, report: TargetReport },
     /// The digest of a data centre is due: the data centre.
     DigestDue(usize),
-    /// A report relayed in a digest reaches an entry host. `at_ms` is the time
-    /// of the report.
-    RelayedReportReceived {
-        host: usize,
-        target: usize,
-        at_ms: u64,
-        report: TargetReport,
-    },
+    /// A digest reaches an entry host.
+    DigestReceived { host: usize, reports: Rc<[RelayedReport]> },
     /// The heartbeats of the other entry hosts reach an entry host.
     Heartbeat(usize),
     /// A target stops accepting requests.
@@ -107,6 +102,15 @@
     LeaveIfSilent { call: usize, tries: u32, events: u32 },
 }
 
+/// A report in a digest.
+#[derive(Clone, Debug)]
+pub(super) struct RelayedReport {
+    /// The time of the report.
+    pub(super) at_ms: u64,
+    pub(super) target: usize,
+    pub(super) report: TargetReport,
+}
+
 /// A caller's request, over all its tries.
 #[derive(Debug)]
 struct Call {
@@ -345,9 +349,12 @@
             }
             Event::Heartbeat(host) => self.on_heartbeat(host),
             Event::DigestDue(centre) => self.send_digest(centre),
-            Event::RelayedReportReceived { host, target, at_ms, report } => {
+            Event::DigestReceived { host, reports } => {
                 let targets = &mut self.hosts[host].gateway.targets;
-                targets.record_relayed_report(at_ms, address(target), report);
+                for RelayedReport { at_ms, target, report } in reports.iter() {
+                    let at = address(*target);
+                    targets.record_relayed_report(*at_ms, at, report.clone());
+                }
             }
             Event::Drain(target) => {
                 self.targets[target].is_accepting = false;
--- a/crates/raildale-testkit/tests/load.rs
+++ b/crates/raildale-testkit/tests/load.rs
@@ -191,6 +191,19 @@
     }
 }
 
+/// The same before 550 entry hosts with two requests a second each: hardly any
+/// two of them meet at one entry host.
+#[test]
+fn few_requests_at_each_host_are_ranked() {
+    let result = load::simulate(&pattern("large-ranked-overload.toml"), 1);
+    let [urgent, usual, batch] = &result.routes[..] else {
+        panic!("three routes are expected");
+    };
+    assert!(urgent.credit >= 0.8, "{result}");
+    assert!(urgent.credit >= usual.credit, "{result}");
+    assert!(usual.credit >= batch.credit, "{result}");
+}
+
 /// Returns the share of the requests in a range of seconds that was answered
 /// in time, over all seeds.
 fn in_time_share(
