A start of all reads the list of entry hosts a few times, not once a host

Cause: each entry host read the whole list of entry hosts from the store at its start ("it is small"), from far away but for one data centre, and wrote its own entry again though it was listed: bytes and calls grow with the square of the fleet.

Change: the seeds read the list. Others wait for a random time, exponentially distributed, before they ask in another data centre, and by then most get it from a neighbour. Who hears nobody that knows it reads it after 0.45 to 0.9 s. The own entry is written if the list lacks it. Who does not know the others no longer takes itself for a watcher.

--- a/crates/raildale-core/src/members/mod.rs
+++ b/crates/raildale-core/src/members/mod.rs
@@ -5,10 +5,12 @@
 //!
 //! * [`concentration`]: the entry hosts that are named to callers where there
 //!   are many.
+//! * [`joining`]: how an entry host that starts learns of the others.
 //! * [`relays`]: which entry hosts exchange heartbeats, and the digests
 //!   between data centres.
 
 pub mod concentration;
+pub mod joining;
 pub mod relays;
 
 use std::{collections::BTreeMap, net::IpAddr};
@@ -86,7 +88,7 @@
 pub struct Members {
     own: MemberEntry,
     others: BTreeMap<IpAddr, Member>,
-    /// Whether the store lists this entry host.
+    /// Whether the store lists this entry host as it is.
     is_listed: bool,
     /// When entry hosts that recently left the list did so.
     delisted_ms: BTreeMap<IpAddr, u64>,
@@ -171,13 +173,14 @@
             self.delisted_ms.entry(*ip).or_insert(now_ms);
             is_heard(member, now_ms)
         });
-        self.is_listed = listed.iter().any(|entry| entry.ip == self.own.ip);
+        self.is_listed = listed.contains(&self.own);
         for entry in listed {
             self.add(now_ms, entry);
         }
     }
 
-    /// Returns whether the store lists this entry host, as far as it knows.
+    /// Returns whether the store lists this entry host as it is, as far as it
+    /// knows.
     pub fn is_listed(&self) -> bool {
         self.is_listed
     }
@@ -449,6 +452,24 @@
         is_due.then_some(ip)
     }
 
+    /// Returns whether another entry host that is heard knows anything of a
+    /// kind.
+    pub fn any_knows(&self, now_ms: u64, kind: Kind) -> bool {
+        let mut heard =
+            self.others.values().filter(|member| is_heard(member, now_ms));
+        heard.any(|member| {
+            let known = extent(member, kind);
+            known.is_some_and(|known| known.changed > Stamp::default())
+        })
+    }
+
+    /// Returns whether the entry host at `ip` is known to be in the own data
+    /// centre.
+    pub fn is_in_own_centre(&self, ip: IpAddr) -> bool {
+        let member = self.others.get(&ip);
+        member.is_some_and(|m| m.entry.data_centre == self.own.data_centre)
+    }
+
     /// Returns the live entry hosts that are ahead of `own` in a kind: those
     /// of the own data centre, or all if there are none.
     fn nearest_ahead(
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -31,7 +31,7 @@
         Fingerprint, Gateway, GatewayConfig, evacuations::Evacuations,
         retry_budget::RetryBound, routes::Limits,
     },
-    members::{MemberEntry, Members},
+    members::{MemberEntry, Members, joining::Joining},
 };
 use tokio::sync::watch;
 
@@ -98,10 +98,8 @@
     fetching: RefCell<BTreeSet<Kind>>,
     /// Fingerprints whose stored records are being written or deleted.
     pub claimed_records: RefCell<BTreeSet<Fingerprint>>,
-    started_ms: u64,
-    /// How long after its start this entry host reads a kind that it does not
-    /// know from the store itself, in milliseconds. Not used in a large fleet.
-    store_read_delay_ms: u64,
+    /// Whom it asks, and when, while it knows nothing yet.
+    pub joining: RefCell<Joining>,
     /// Since when the store has not answered; `None` while it does.
     store_down_since_ms: Cell<Option<u64>>,
     /// When the store last recovered from an outage or was restored; 0 if
@@ -130,15 +128,6 @@
 /// milliseconds: others that know more send a heartbeat within 400 ms.
 const INITIAL_LISTEN_MS: u64 = 450;
 
-/// The minimum time after its start until an entry host reads an unknown kind
-/// from the store itself, in milliseconds.
-const MIN_STORE_READ_DELAY_MS: u64 = 1_200;
-
-/// The maximum random addition to that, in milliseconds: after a loss of all,
-/// hundreds would read the configuration at once, and the first that has it
-/// passes it on.
-const STORE_READ_JITTER_MS: u64 = 2_400;
-
 /// The interval at which a leaving entry host checks for requests in progress.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -188,6 +177,7 @@
             regions: file.regions(),
         });
         gateway.targets.set_fleet_known(false);
+        let is_seed = node.seeds.iter().any(|seed| seed.ip() == node.ip);
         let has_evacuations = bounds.evacuate_ms > 0;
         if has_evacuations {
             gateway.targets.evacuations = Evacuations::pending();
@@ -212,9 +202,9 @@
             fetch_timeouts: Cell::default(),
             fetching: RefCell::default(),
             claimed_records: RefCell::default(),
-            started_ms: now_ms(),
-            store_read_delay_ms: MIN_STORE_READ_DELAY_MS
-                + rand::random_range(0..STORE_READ_JITTER_MS),
+            joining: RefCell::new(Joining::new(now_ms(), is_seed, |range| {
+                rand::random_range(range)
+            })),
             store_down_since_ms: Cell::new(None),
             store_recovered_ms: Cell::new(0),
             store_era: Cell::new(None),
@@ -292,32 +282,49 @@
     /// Whether this entry host should read a kind from the store itself. After
     /// its start it first listens whether others know the kind: after a loss
     /// of power all would read the configuration at once. Seeds do not wait,
-    /// because all others turn to them. The list of entry hosts is read at
-    /// once: it is small, and names the others.
+    /// because all others turn to them.
     pub fn may_ask_store(&self, kind: Kind) -> bool {
         let now = now_ms();
-        let age_ms = now - self.started_ms;
-        let is_first = self.is_seed() || kind == Kind::EntryHosts;
+        let members = self.members.borrow();
+        let joining = self.joining.borrow();
+        let is_known = self.store_mirror.is_known(kind);
+        if !is_known && kind == Kind::EntryHosts {
+            let is_alone = !members.any_knows(now, kind);
+            return joining.reads_list(now, is_alone);
+        }
         // In a large fleet only watchers read thousands of targets.
-        let is_large = self.members.borrow().is_large();
-        let is_delay_over = age_ms > self.store_read_delay_ms && !is_large;
-        match self.store_mirror.is_known(kind) {
-            false if is_first || is_delay_over => true,
-            _ if age_ms < INITIAL_LISTEN_MS => false,
-            _ => self.members.borrow().is_watcher(now),
+        let is_first = joining.is_seed() || !members.is_large();
+        if !is_known && is_first && joining.reads_unknown(now) {
+            return true;
+        }
+        // Who does not know the others would take itself for a watcher.
+        let knows_others = self.store_mirror.is_known(Kind::EntryHosts);
+        let has_listened = joining.age_ms(now) >= INITIAL_LISTEN_MS;
+        has_listened && knows_others && members.is_watcher(now)
+    }
+
+    /// Returns the milliseconds until the list of entry hosts may be fetched
+    /// from the one at `ip`. A starting entry host gives those of its own data
+    /// centre time to fetch it.
+    pub fn list_wait_ms(&self, ip: IpAddr) -> u64 {
+        let is_known = self.store_mirror.is_known(Kind::EntryHosts);
+        if is_known || self.members.borrow().is_in_own_centre(ip) {
+            return 0;
         }
+        self.joining.borrow_mut().remote_wait_ms(now_ms())
     }
 
-    /// Whether this entry host is one of the seeds.
-    fn is_seed(&self) -> bool {
-        self.node.seeds.iter().any(|seed| seed.ip() == self.node.ip)
+    /// Whether the store's list of entry hosts is known, or should be by now.
+    pub fn has_awaited_list(&self) -> bool {
+        self.store_mirror.is_known(Kind::EntryHosts)
+            || self.joining.borrow().age_ms(now_ms()) >= INITIAL_LISTEN_MS
     }
 
     /// Whether a kind may be fetched from another entry host. After its start
     /// an entry host first learns which others there are, in order to fetch
     /// from a near one.
     pub fn may_ask_peers(&self, kind: Kind) -> bool {
-        let age_ms = now_ms() - self.started_ms;
+        let age_ms = self.joining.borrow().age_ms(now_ms());
         kind == Kind::EntryHosts
             || self.store_mirror.is_known(Kind::EntryHosts)
             || age_ms > INITIAL_LISTEN_MS
--- a/crates/raildale/src/fleet/entry/peers.rs
+++ b/crates/raildale/src/fleet/entry/peers.rs
@@ -358,13 +358,39 @@
         let draw = rand::random_range(0..usize::from(u16::MAX));
         let ahead =
             host.members.borrow_mut().find_ahead(now_ms(), kind, own, draw);
-        if let Some(ip) = ahead {
-            host.set_fetching(kind, true);
-            tokio::task::spawn_local(snapshots::fetch_and_apply(
-                host.clone(),
-                ip,
-                kind,
-            ));
+        let Some(ip) = ahead else { continue };
+        if kind == Kind::EntryHosts && waits_for_neighbours(host, ip) {
+            continue;
         }
+        host.set_fetching(kind, true);
+        tokio::task::spawn_local(snapshots::fetch_and_apply(
+            host.clone(),
+            ip,
+            kind,
+        ));
+    }
+}
+
+/// Returns whether this entry host still leaves it to others of its data
+/// centre to fetch the list of entry hosts from the one at `ip`. If so, it
+/// tries again when that time is over.
+fn waits_for_neighbours<P>(host: &Rc<EntryHost<P>>, ip: IpAddr) -> bool
+where
+    P: Dialect + Store + 'static,
+{
+    let is_scheduled = host.joining.borrow().has_heard_remote();
+    let wait_ms = host.list_wait_ms(ip);
+    if wait_ms > 0 && !is_scheduled {
+        tokio::task::spawn_local(fetch_later(host.clone(), wait_ms));
     }
+    wait_ms > 0
+}
+
+/// Fetches newer kinds after `wait_ms` milliseconds.
+async fn fetch_later<P>(host: Rc<EntryHost<P>>, wait_ms: u64)
+where
+    P: Dialect + Store + 'static,
+{
+    tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+    fetch_newer_kinds(&host);
 }
--- a/crates/raildale/src/fleet/entry/store_watch.rs
+++ b/crates/raildale/src/fleet/entry/store_watch.rs
@@ -241,13 +241,18 @@
     Duration::from_millis(rand::random_range(max_ms / 2..=max_ms))
 }
 
-/// Writes the own entry, and again whenever it is removed, and deletes the
-/// entries of entry hosts that are gone.
+/// Writes the own entry unless it is listed, and again whenever it is removed,
+/// and deletes the entries of entry hosts that are gone.
 async fn register<P>(host: Rc<EntryHost<P>>)
 where
     P: Dialect + Store + 'static,
 {
-    write_own_entry(&host).await;
+    while !host.has_awaited_list() {
+        tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
+    }
+    if !host.members.borrow().is_listed() {
+        write_own_entry(&host).await;
+    }
     let mut checked_ms = now_ms();
     let mut swept_ms = checked_ms;
     loop {
