No entry host sends a digest or the list of agents to all

Relays were the first by address, whatever their machine bears.

Change: a digest is sent to four entry hosts, each of which passes it on to a quarter of the others; who gets it stands in the message, and each time others stand in the middle. Each agent gets the list from two entry hosts of its data centre, in turn among all that are ready; relays still get every report. Relays are those with most processor time.

What it costs: those behind one that died miss a digest until it counts as silent.

--- a/crates/raildale-core/src/fleet_message.rs
+++ b/crates/raildale-core/src/fleet_message.rs
@@ -37,8 +37,8 @@
     /// Agent to entry host: requests a briefing, as it has had none yet.
     #[prost(message, tag = "4")]
     BriefingRequest(BriefingRequest),
-    /// Relay to the relays of other data centres, which pass it on to their
-    /// neighbours.
+    /// Relay to the relays of other data centres, which distribute it among
+    /// their neighbours.
     #[prost(message, tag = "5")]
     Digest(Digest),
 }
@@ -201,6 +201,10 @@
     /// original relay.
     #[prost(uint64, tag = "7")]
     pub round_trip_ms: u64,
+    /// The IPv4 addresses of the entry hosts to which the receiver passes the
+    /// digest on.
+    #[prost(fixed32, repeated, tag = "8")]
+    pub pass_on_to: Vec<u32>,
 }
 
 /// An entry host in a digest.
--- a/crates/raildale-core/src/members/mod.rs
+++ b/crates/raildale-core/src/members/mod.rs
@@ -5,11 +5,13 @@
 //!
 //! * [`concentration`]: the entry hosts that are named to callers where there
 //!   are many.
+//! * [`fan_out`]: distribution of one message to many entry hosts.
 //! * [`joining`]: how an entry host that starts learns of the others.
 //! * [`relays`]: which entry hosts exchange heartbeats, and the digests
 //!   between data centres.
 
 pub mod concentration;
+pub mod fan_out;
 pub mod joining;
 pub mod relays;
 
--- a/crates/raildale-core/src/members/relays.rs
+++ b/crates/raildale-core/src/members/relays.rs
@@ -6,9 +6,12 @@
 //! second, four in five of them between regions. In a large fleet an entry
 //! host therefore communicates only within its own data centre. Two relays of
 //! each data centre send the state of their data centre to those of the others
-//! as one digest, and the recipient forwards it within its data centre.
+//! as one digest, and the recipient distributes it within its data centre
+//! ([`super::fan_out`]).
 
-use std::{collections::BTreeMap, net::IpAddr};
+use std::{cmp::Reverse, collections::BTreeMap, net::IpAddr};
+
+use rand::{SeedableRng, rngs::SmallRng, seq::SliceRandom};
 
 use super::{
     Heartbeat, Member, Members, ReceivedHeartbeat, SILENT_MS,
@@ -113,9 +116,47 @@
         centres.into_iter().map(recipient).collect()
     }
 
+    /// Returns the neighbours in the order in which a message is distributed
+    /// among them: first those that are heard, shuffled by `seed`, so that
+    /// each time others pass it on.
+    pub fn audience(&self, now_ms: u64, seed: u64) -> Vec<IpAddr> {
+        let is_heard = |ip: &IpAddr| {
+            let member = self.others.get(ip);
+            member
+                .and_then(|m| heartbeat_within(m, now_ms, WATCHER_TIMEOUT_MS))
+                .is_some()
+        };
+        let (mut heard, silent): (Vec<IpAddr>, Vec<IpAddr>) =
+            self.neighbours().partition(is_heard);
+        heard.shuffle(&mut SmallRng::seed_from_u64(seed));
+        heard.into_iter().chain(silent).collect()
+    }
+
+    /// Returns the part of the own data centre's agents to which this entry
+    /// host sends the list of agents in a large fleet; `None` if it is not
+    /// ready, and so may not know them.
+    pub fn list_turn(
+        &self,
+        now_ms: u64,
+        is_own_ready: bool,
+    ) -> Option<ListTurn> {
+        if !is_own_ready {
+            return None;
+        }
+        let ready_ip = |(ip, member): (&IpAddr, &Member)| {
+            let is_here = member.entry.data_centre == self.own.data_centre;
+            let beat = heartbeat_within(member, now_ms, WATCHER_TIMEOUT_MS)?;
+            (is_here && beat.is_ready && !beat.is_leaving).then_some(*ip)
+        };
+        let ready: Vec<IpAddr> =
+            self.others.iter().filter_map(ready_ip).collect();
+        let own = ready.iter().filter(|ip| **ip < self.own.ip).count();
+        Some(ListTurn { own, count: ready.len() + 1 })
+    }
+
     /// Returns the entry hosts of a data centre that were heard within
-    /// `heard_ms` and are not leaving: those that are ready first, then by
-    /// address.
+    /// `heard_ms` and are not leaving: those that are ready first, then those
+    /// with most processor time, then by address.
     fn ranked(
         &self,
         now_ms: u64,
@@ -127,12 +168,14 @@
             |(_, m): &(&IpAddr, &Member)| m.entry.data_centre == *data_centre;
         let heard = self.others.iter().filter(here).filter_map(|(ip, m)| {
             let beat = heartbeat_within(m, now_ms, heard_ms)?;
-            (!beat.is_leaving).then_some((!beat.is_ready, *ip))
+            let cpu = Reverse(m.entry.cpu_millis);
+            (!beat.is_leaving).then_some((!beat.is_ready, cpu, *ip))
         });
-        let own = own.map(|(ip, is_ready)| (!is_ready, ip));
-        let mut ranked: Vec<(bool, IpAddr)> = heard.chain(own).collect();
+        let own_cpu = Reverse(self.own.cpu_millis);
+        let own = own.map(|(ip, is_ready)| (!is_ready, own_cpu, ip));
+        let mut ranked: Vec<_> = heard.chain(own).collect();
         ranked.sort_unstable();
-        ranked.into_iter().map(|(_, ip)| ip).collect()
+        ranked.into_iter().map(|(_, _, ip)| ip).collect()
     }
 
     /// Returns the entry hosts of the own data centre that are heard, for a
@@ -178,6 +221,31 @@
     }
 }
 
+/// The agents of a data centre to which one entry host sends the list of
+/// agents. Each agent gets it from [`LISTERS`] entry hosts, so that the lists
+/// that an entry host sends don't grow with the data centre.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListTurn {
+    /// The index of the entry host among those that are ready.
+    pub own: usize,
+    /// The number of entry hosts that are ready.
+    pub count: usize,
+}
+
+/// The number of entry hosts that send the list of agents to an agent. The
+/// second one covers for one that has died or is cut off.
+pub const LISTERS: usize = 2;
+
+impl ListTurn {
+    /// Returns whether the entry host sends the list to the agent with index
+    /// `agent` in its data centre.
+    pub fn includes(&self, agent: usize) -> bool {
+        let distance = (self.count / LISTERS).max(1);
+        (0..LISTERS)
+            .any(|turn| (agent + turn * distance) % self.count == self.own)
+    }
+}
+
 /// Round trips to the relays of other data centres, measured by the timestamps
 /// that each side echoes.
 #[derive(Debug, Default)]
--- a/crates/raildale/src/fleet/entry/briefings.rs
+++ b/crates/raildale/src/fleet/entry/briefings.rs
@@ -1,11 +1,12 @@
 //! Briefings: messages from an entry host to the agents of a service.
 
-use std::net::{IpAddr, Ipv4Addr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use raildale_core::{
     Name,
     fleet_message::{AgentEntry, Briefing, BriefingRequest, Note, VersionAge},
     gateway::{Routing, Service},
+    members::relays::ListTurn,
 };
 
 use super::EntryHost;
@@ -21,9 +22,17 @@
 struct AgentList {
     agents: Vec<AgentEntry>,
     data_centres: Vec<String>,
-    /// For each agent, whether this entry host has slots or requests at its
-    /// target.
-    is_used: Vec<bool>,
+    /// For each agent, how this entry host relates to its target.
+    uses: Vec<Use>,
+}
+
+/// How an entry host relates to the target of an agent.
+#[derive(Clone, Copy, Debug)]
+struct Use {
+    /// The target's address.
+    address: SocketAddr,
+    /// Whether the entry host has slots or requests there.
+    is_used: bool,
 }
 
 impl AgentList {
@@ -35,7 +44,7 @@
         let mut list = AgentList {
             agents: Vec::new(),
             data_centres: Vec::new(),
-            is_used: Vec::new(),
+            uses: Vec::new(),
         };
         for target in gateway.targets.iter() {
             let spec = &target.spec;
@@ -52,7 +61,10 @@
                 serves_version: target.serves_version(now).unwrap_or(0),
                 is_slow: target.is_slow(now),
             });
-            list.is_used.push(target.own_slots + target.in_flight > 0);
+            list.uses.push(Use {
+                address: spec.address,
+                is_used: target.own_slots + target.in_flight > 0,
+            });
         }
         list
     }
@@ -69,7 +81,6 @@
         let entry =
             AgentEntry { ip, data_centre, is_slow, ..AgentEntry::default() };
         self.agents.push(entry);
-        self.is_used.push(true);
     }
 
     /// Returns the index of a data centre, which is added if it is new.
@@ -84,7 +95,7 @@
 
     /// Returns `briefing` with this list added.
     fn add_to(self, briefing: Briefing) -> Briefing {
-        let AgentList { agents, data_centres, is_used: _ } = self;
+        let AgentList { agents, data_centres, uses: _ } = self;
         Briefing { agents, data_centres, ..briefing }
     }
 }
@@ -168,56 +179,88 @@
 {
     let list = AgentList::of_service(host, service);
     let listless = listless_briefing(host, service, base);
-    let briefing_forms: Vec<Option<BriefingForm>> = list
-        .data_centres
-        .iter()
-        .map(|centre| briefing_form(host, centre))
-        .collect();
+    let parts: Vec<Option<Part>> =
+        list.data_centres.iter().map(|centre| part(host, centre)).collect();
     let agents = list.agents.clone();
-    let is_used = list.is_used.clone();
+    let uses = list.uses.clone();
     let is_near = true;
     let near = Briefing { is_near, ..listless.clone() };
     let full = list.add_to(near.clone());
     let [listless, near, full] = [listless, near, full]
         .map(|briefing| frames::encode_note(Note::Briefing(briefing)));
-    agents
-        .iter()
-        .zip(is_used)
-        .filter_map(|(agent, is_used)| {
-            let note = match briefing_forms[agent.data_centre as usize]? {
-                BriefingForm::Far => listless.clone(),
-                BriefingForm::NearIfUsed if is_used => near.clone(),
-                BriefingForm::NearIfUsed => return None,
-                BriefingForm::NearWithList => full.clone(),
-            };
-            Some((IpAddr::V4(Ipv4Addr::from(agent.ip)), note))
-        })
-        .collect()
+    let mut counts = vec![0; parts.len()];
+    let mut briefings = Vec::new();
+    for (agent, Use { is_used, .. }) in agents.iter().zip(uses) {
+        let centre = agent.data_centre as usize;
+        let index = counts[centre];
+        counts[centre] += 1;
+        let form = parts[centre].and_then(|part| part.form(index, is_used));
+        let note = match form {
+            Some(BriefingForm::Far) => &listless,
+            Some(BriefingForm::Near) => &near,
+            Some(BriefingForm::NearWithList) => &full,
+            None => continue,
+        };
+        let ip = IpAddr::V4(Ipv4Addr::from(agent.ip));
+        briefings.push((ip, note.clone()));
+    }
+    briefings
 }
 
-/// The kind of briefing that the agents of a data centre get.
+/// The form of a briefing.
 #[derive(Clone, Copy, Debug)]
 enum BriefingForm {
-    /// A short one without the list, to keep traffic to that data centre low.
+    /// Without the list, for one report in several.
     Far,
-    /// For agents whose target this entry host uses, without the list. With 30
-    /// entry hosts in a data centre an agent would report to each ten times a
-    /// second, although only eight of them count on a slot there. The others
-    /// hear from the relays.
-    NearIfUsed,
-    /// For agents that this entry host looks after, with the list of agents.
+    /// Without the list, for every report.
+    Near,
+    /// With the list of agents, for every report.
     NearWithList,
 }
 
-/// Returns which briefing the agents of a data centre get from this entry
-/// host; `None` if other entry hosts pass on their reports. The list goes to
-/// the agents of the data centres to which no live entry host is nearer,
-/// because traffic between data centres is costly. In a large fleet only the
-/// relays send it.
-fn briefing_form<P>(
-    host: &EntryHost<P>,
-    data_centre: &str,
-) -> Option<BriefingForm>
+/// The part of an entry host in briefing the agents of a data centre.
+#[derive(Clone, Copy, Debug)]
+enum Part {
+    /// Others are nearer to it: short briefings keep the traffic to that data
+    /// centre low.
+    Distant,
+    /// This entry host looks after all of its agents.
+    Responsible,
+    /// It briefs them together with its neighbours. With 30 entry hosts in a
+    /// data centre an agent would report to each ten times a second, although
+    /// only eight of them count on a slot there. The others hear from the
+    /// relays, which get the reports of all agents. The lists of agents are
+    /// divided among all.
+    Shared { is_relay: bool, list_turn: Option<ListTurn> },
+}
+
+impl Part {
+    /// Returns the form of the briefing for the agent with an index in the
+    /// data centre; `None` if it gets none. `is_used` tells whether this entry
+    /// host has slots or requests at its target.
+    fn form(self, index: usize, is_used: bool) -> Option<BriefingForm> {
+        match self {
+            Part::Distant => Some(BriefingForm::Far),
+            Part::Responsible => Some(BriefingForm::NearWithList),
+            Part::Shared { is_relay, list_turn } => {
+                let has_list =
+                    list_turn.is_some_and(|turn| turn.includes(index));
+                match (has_list, is_relay || is_used) {
+                    (true, _) => Some(BriefingForm::NearWithList),
+                    (false, true) => Some(BriefingForm::Near),
+                    (false, false) => None,
+                }
+            }
+        }
+    }
+}
+
+/// Returns the part of this entry host in briefing the agents of a data
+/// centre; `None` if others pass on their reports. The list goes to the agents
+/// of the data centres to which no live entry host is nearer, because traffic
+/// between data centres is costly. In a large fleet only the relays send it to
+/// data centres without entry hosts.
+fn part<P>(host: &EntryHost<P>, data_centre: &str) -> Option<Part>
 where
     P: Dialect + Store + 'static,
 {
@@ -225,12 +268,16 @@
     let members = host.members.borrow();
     let is_nearest = members.is_nearest(now, data_centre);
     let is_relay = members.relay_index(now, host.is_ready()).is_some();
-    let reaches = members.reaches_data_centre(data_centre);
+    let is_own = *data_centre == *host.node.data_centre;
     match (members.is_large(), is_nearest) {
-        (false, true) => Some(BriefingForm::NearWithList),
-        (false, false) => Some(BriefingForm::Far),
-        (true, true) if is_relay => Some(BriefingForm::NearWithList),
-        (true, _) => reaches.then_some(BriefingForm::NearIfUsed),
+        (false, true) => Some(Part::Responsible),
+        (false, false) => Some(Part::Distant),
+        (true, _) if is_own => Some(Part::Shared {
+            is_relay,
+            list_turn: members.list_turn(now, host.is_ready()),
+        }),
+        (true, true) if is_relay => Some(Part::Responsible),
+        (true, _) => None,
     }
 }
 
--- a/crates/raildale/src/fleet/entry/digests.rs
+++ b/crates/raildale/src/fleet/entry/digests.rs
@@ -1,14 +1,14 @@
 //! Digests: messages between the data centres of a large fleet.
 //!
-//! A relay sends what it hears in its own data centre to its neighbours and to
-//! one entry host of each other data centre, which forwards the digest to its
-//! neighbours.
+//! A relay sends what it hears in its own data centre to one entry host of
+//! each other data centre. Both distribute the digest among their neighbours:
+//! they send it to a few, which pass it on.
 
 use std::net::IpAddr;
 
 use raildale_core::{
     fleet_message::{Digest, DigestTarget, Note, Report},
-    members::relays::HEARTBEATS_PER_DIGEST,
+    members::{fan_out, relays::HEARTBEATS_PER_DIGEST},
 };
 use tokio::net::UdpSocket;
 
@@ -40,12 +40,12 @@
         return;
     }
     let Some(digest) = digest(host) else { return };
-    let note = frames::encode_note(Note::Digest(digest));
+    let note = frames::encode_note(Note::Digest(digest.clone()));
     let draw = rand::random_range(0..usize::from(u16::MAX));
-    let mut recipients =
-        host.members.borrow().digest_recipients(now, place, draw);
-    recipients.extend(host.members.borrow().neighbours());
+    let recipients = host.members.borrow().digest_recipients(now, place, draw);
     peers::send_to_hosts(host, socket, &note, recipients).await;
+    let audience = host.members.borrow().audience(now, rand::random());
+    distribute(host, socket, digest, audience).await;
 }
 
 /// Returns the digest of what this entry host hears in its data centre; `None`
@@ -66,6 +66,7 @@
         sent_ms: now,
         echoes: members.round_trips().echoes(now),
         round_trip_ms: 0,
+        pass_on_to: Vec::new(),
     })
 }
 
@@ -83,8 +84,8 @@
     heard.collect()
 }
 
-/// Applies a digest, and forwards it if it comes directly from a relay of
-/// another data centre.
+/// Applies a digest and passes it on: to all neighbours if it comes directly
+/// from a relay of another data centre, else to those that it names.
 pub(super) async fn handle<P>(
     host: &EntryHost<P>,
     socket: &UdpSocket,
@@ -107,11 +108,21 @@
             host.node.ip,
             &digest.echoes,
         );
+        // They only serve the first receiver.
+        digest.echoes.clear();
     }
     record(host, relay_ip, &digest);
-    if is_first_hand {
-        forward(host, socket, relay_ip, digest).await;
-    }
+    let recipients = match is_first_hand {
+        true => host.members.borrow().audience(now_ms(), rand::random()),
+        false => named_recipients(&digest),
+    };
+    distribute(host, socket, digest, recipients).await;
+}
+
+/// Returns the entry hosts to which a digest is to be passed on.
+fn named_recipients(digest: &Digest) -> Vec<IpAddr> {
+    let addresses = digest.pass_on_to.iter();
+    addresses.map(|ip| IpAddr::V4((*ip).into())).collect()
 }
 
 /// Records what a digest reports of entry hosts and targets.
@@ -141,20 +152,27 @@
     host.handle_ended_targets();
 }
 
-/// Forwards a digest to the neighbours. Its echoes are dropped: they only
-/// serve the first receiver, which has measured the round trip.
-async fn forward<P>(
+/// Sends a digest to the first of `recipients`, which pass it on to the
+/// others.
+async fn distribute<P>(
     host: &EntryHost<P>,
     socket: &UdpSocket,
-    relay_ip: IpAddr,
     mut digest: Digest,
+    recipients: Vec<IpAddr>,
 ) where
     P: Dialect + Store + 'static,
 {
-    digest.echoes.clear();
-    let note = frames::encode_note(Note::Digest(digest));
-    let mut recipients: Vec<IpAddr> =
-        host.members.borrow().neighbours().collect();
-    recipients.retain(|ip| *ip != relay_ip);
-    peers::send_to_hosts(host, socket, &note, recipients).await;
+    for branch in fan_out::branches(&recipients) {
+        let pass_on_to = branch.pass_on_to.iter().filter_map(ipv4_number);
+        digest.pass_on_to = pass_on_to.collect();
+        let note = frames::encode_note(Note::Digest(digest.clone()));
+        peers::send_to_hosts(host, socket, &note, vec![branch.ip]).await;
+    }
+}
+
+fn ipv4_number(ip: &IpAddr) -> Option<u32> {
+    match ip {
+        IpAddr::V4(ip) => Some(u32::from(*ip)),
+        IpAddr::V6(_) => None,
+    }
 }
