An agent that is no longer briefed is not taken for slow

Cause: an entry host briefs the agents whose targets it uses. When it stops, the agent goes on reporting to it for 4 s, with the age of its last briefing; from 0.77 s on the entry host took that for a slow path, and left the target out while another fitted, 3 s beyond the last such report. In a fleet where shares move (a start of all, restarts in turn, a change of load) most targets of a data centre are left out at once.

Change: a briefing is overdue only if the entry host has sent a later one.

Measured: tests/reports.rs; the two new cases need the change. The existing cases are called with a later briefing, which is what they stand for.

--- a/crates/raildale-core/src/fleet_message.rs
+++ b/crates/raildale-core/src/fleet_message.rs
@@ -425,9 +425,14 @@
     }
 
     /// Returns the report as an entry host uses it, with the round-trip time.
-    /// `now_ms` is the time of receipt, on the clock that the entry host puts
-    /// into its briefings.
-    pub fn target_report(&self, now_ms: u64) -> TargetReport {
+    /// `now_ms` is the time of receipt and `last_briefed_ms` that of its last
+    /// briefing to the agent, 0 if there was none, both on the clock that the
+    /// entry host puts into its briefings.
+    pub fn target_report(
+        &self,
+        now_ms: u64,
+        last_briefed_ms: u64,
+    ) -> TargetReport {
         let round_trip_ms = match self.briefing_sent_ms {
             0 => 0,
             sent_ms => now_ms
@@ -435,8 +440,13 @@
                 .saturating_sub(self.briefing_age_ms),
         };
         // A congested link drops datagrams, so an overdue briefing at the
-        // agent indicates a slow path just as a long round trip does.
-        let overdue_ms = self.briefing_age_ms.saturating_sub(OVERDUE_AFTER_MS);
+        // agent indicates a slow path just as a long round trip does. Nothing
+        // is overdue if the entry host has sent no later one: it briefs only
+        // agents whose targets it uses.
+        let overdue_ms = match last_briefed_ms > self.briefing_sent_ms {
+            true => self.briefing_age_ms.saturating_sub(OVERDUE_AFTER_MS),
+            false => 0,
+        };
         let round_trip_ms = round_trip_ms.max(overdue_ms).max(self.queue_ms);
         TargetReport {
             is_up: self.is_up,
--- a/crates/raildale-core/src/gateway/target.rs
+++ b/crates/raildale-core/src/gateway/target.rs
@@ -107,6 +107,8 @@
     pub not_begun: u32,
     /// The number of slots that this entry host owns there.
     pub own_slots: u32,
+    /// When its agent was last sent a briefing; 0 if it was sent none.
+    pub briefed_ms: u64,
     /// The last report, when it was made, and `in_flight` at that time.
     report: Option<(u64, TargetReport, u32)>,
     /// Whether the last report came from the agent itself rather than a
@@ -216,6 +218,7 @@
             in_flight: 0,
             not_begun: 0,
             own_slots: 0,
+            briefed_ms: 0,
             report: None,
             is_direct: false,
             lottery_number: 0.0,
--- a/crates/raildale-core/src/gateway/targets/mod.rs
+++ b/crates/raildale-core/src/gateway/targets/mod.rs
@@ -295,6 +295,22 @@
         self.by_id.values()
     }
 
+    /// Records that the agent of the target at `address` was sent a briefing
+    /// at `sent_ms`.
+    pub fn record_briefed(&mut self, address: SocketAddr, sent_ms: u64) {
+        if let Some(target) = self.target_at(address) {
+            target.briefed_ms = sent_ms;
+        }
+    }
+
+    /// Returns when the agent of the target at `address` was last sent a
+    /// briefing; 0 if that is not known.
+    pub fn briefed_ms(&self, address: SocketAddr) -> u64 {
+        let id = self.by_address.get(&address);
+        let target = id.and_then(|id| self.by_id.get(id));
+        target.map_or(0, |target| target.briefed_ms)
+    }
+
     /// Handles a report by the agent of the target at `address`. Returns
     /// whether such a target is known.
     pub fn record_report(
--- a/crates/raildale-core/tests/reports.rs
+++ b/crates/raildale-core/tests/reports.rs
@@ -21,5 +21,23 @@
         briefing_age_ms: age_ms,
         ..Report::default()
     };
-    assert_eq!(report.target_report(NOW_MS).round_trip_ms, expected_ms);
+    let received = report.target_report(NOW_MS, NOW_MS);
+    assert_eq!(received.round_trip_ms, expected_ms);
+}
+
+/// An entry host that no longer uses a target stops briefing its agent, which
+/// goes on reporting for a while. The age of the last briefing then shows
+/// nothing about the path.
+#[parameterized(
+    just_stopped = { 600 },
+    stopped_long_ago = { 3_900 },
+)]
+fn an_agent_that_is_no_longer_briefed_is_not_slow(age_ms: u64) {
+    let sent_ms = NOW_MS - age_ms - 6;
+    let report = Report {
+        briefing_sent_ms: sent_ms,
+        briefing_age_ms: age_ms,
+        ..Report::default()
+    };
+    assert_eq!(report.target_report(NOW_MS, sent_ms).round_trip_ms, 6);
 }
--- a/crates/raildale-testkit/src/load/world.rs
+++ b/crates/raildale-testkit/src/load/world.rs
@@ -353,7 +353,7 @@
                 let targets = &mut self.hosts[host].gateway.targets;
                 for RelayedReport { at_ms, target, report } in reports.iter() {
                     let at = address(*target);
-                    targets.record_relayed_report(*at_ms, at, report.clone());
+                    targets.record_relayed_report(*at_ms, at, *report);
                 }
             }
             Event::Drain(target) => {
--- a/crates/raildale/src/fleet/entry/briefings.rs
+++ b/crates/raildale/src/fleet/entry/briefings.rs
@@ -183,6 +183,7 @@
         list.data_centres.iter().map(|centre| part(host, centre)).collect();
     let agents = list.agents.clone();
     let uses = list.uses.clone();
+    let sent_ms = listless.sent_ms;
     let is_near = true;
     let near = Briefing { is_near, ..listless.clone() };
     let full = list.add_to(near.clone());
@@ -190,7 +191,7 @@
         .map(|briefing| frames::encode_note(Note::Briefing(briefing)));
     let mut counts = vec![0; parts.len()];
     let mut briefings = Vec::new();
-    for (agent, Use { is_used, .. }) in agents.iter().zip(uses) {
+    for (agent, Use { address, is_used }) in agents.iter().zip(uses) {
         let centre = agent.data_centre as usize;
         let index = counts[centre];
         counts[centre] += 1;
@@ -201,6 +202,8 @@
             Some(BriefingForm::NearWithList) => &full,
             None => continue,
         };
+        let mut gateway = host.gateway.borrow_mut();
+        gateway.targets.record_briefed(address, sent_ms);
         let ip = IpAddr::V4(Ipv4Addr::from(agent.ip));
         briefings.push((ip, note.clone()));
     }
--- a/crates/raildale/src/fleet/entry/digests.rs
+++ b/crates/raildale/src/fleet/entry/digests.rs
@@ -143,7 +143,7 @@
         let Some(address) = peers::target_address(wire, relay_ip) else {
             continue;
         };
-        let mut report = wire.target_report(now);
+        let mut report = wire.target_report(now, 0);
         report.round_trip_ms = target.round_trip_ms + digest.round_trip_ms;
         let at_ms = now.saturating_sub(target.age_ms);
         gateway.targets.record_relayed_report(at_ms, address, report);
--- a/crates/raildale/src/fleet/entry/peers.rs
+++ b/crates/raildale/src/fleet/entry/peers.rs
@@ -138,8 +138,11 @@
 {
     let Some(address) = target_address(&report, from.ip()) else { return };
     let now = now_ms();
-    let report = report.target_report(now);
-    host.gateway.borrow_mut().targets.record_report(now, address, report);
+    let mut gateway = host.gateway.borrow_mut();
+    let briefed_ms = gateway.targets.briefed_ms(address);
+    let report = report.target_report(now, briefed_ms);
+    gateway.targets.record_report(now, address, report);
+    drop(gateway);
     host.handle_ended_targets();
 }
 
