An entry host that has just started holds requests instead of refusing them

Cause: until an entry host has the configuration and the list of targets it refused each request at once, to come back in 0.4 s. That suits the restart of one; after a start of all no other one serves either, and the larger the fleet, the longer it takes until the last one knows both: 0.5 s at 100 machines, 1.8 s at 987.

Change: it holds a request for a third of its caller's time at most, and none later than 3.6 s after its start, when it has read the store itself if need be. A request counts from its arrival, and goes through the same queues after it.

--- a/crates/raildale-core/src/members/joining.rs
+++ b/crates/raildale-core/src/members/joining.rs
@@ -1,4 +1,5 @@
-//! How an entry host that has just started learns who the others are.
+//! How an entry host that has just started learns who the others are, and what
+//! it does with requests until it knows enough to serve them.
 //!
 //! The list of entry hosts grows with the fleet, and so does the number of
 //! those that need it: if each read it from the store, the bytes that cross
@@ -33,6 +34,10 @@
 /// on.
 const UNKNOWN_DELAY_MS: Range<u64> = 1_200..3_600;
 
+/// The share of a caller's time for which a starting entry host holds its
+/// request: enough is left for another try.
+const MAX_HOLD_SHARE: f64 = 1.0 / 3.0;
+
 /// The state of a starting entry host.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Joining {
@@ -105,4 +110,14 @@
         let heard_ms = *self.remote_heard_ms.get_or_insert(now_ms);
         (heard_ms + self.remote_delay_ms).saturating_sub(now_ms)
     }
+
+    /// Returns for how many milliseconds a request is held that arrives before
+    /// this entry host can serve it, and whose caller waits for another
+    /// `left_ms`. It is about to know enough; the request would find all
+    /// others in the same state if all have started at once.
+    pub fn hold_ms(&self, now_ms: u64, left_ms: u64) -> u64 {
+        let share_ms = (left_ms as f64 * MAX_HOLD_SHARE) as u64;
+        let known_ms = self.started_ms + UNKNOWN_DELAY_MS.end;
+        share_ms.min(known_ms.saturating_sub(now_ms))
+    }
 }
--- a/crates/raildale-core/tests/large_fleets.rs
+++ b/crates/raildale-core/tests/large_fleets.rs
@@ -332,3 +332,15 @@
     assert!(start.store_reads <= CENTRES * 12, "{}", start.store_reads);
     assert!(last_ms <= 1_200, "{last_ms}");
 }
+
+/// A request that arrives before an entry host can serve it is held while the
+/// entry host is about to learn enough, and so that its caller has time left
+/// for another try.
+#[test]
+fn requests_at_a_start_are_held_for_a_while() {
+    let joining = Joining::new(START_MS, false, |range| range.start);
+    assert_eq!(joining.hold_ms(START_MS + 100, 1_500), 500);
+    assert_eq!(joining.hold_ms(START_MS + 100, 6_000), 2_000);
+    assert_eq!(joining.hold_ms(START_MS + 3_000, 6_000), 600);
+    assert_eq!(joining.hold_ms(START_MS + 60_000, 6_000), 0);
+}
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -128,6 +128,10 @@
 /// milliseconds: others that know more send a heartbeat within 400 ms.
 const INITIAL_LISTEN_MS: u64 = 450;
 
+/// The interval at which a held request checks whether this entry host is
+/// ready.
+const READY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// The interval at which a leaving entry host checks for requests in progress.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -344,6 +348,16 @@
         };
     }
 
+    /// Waits until this entry host can serve requests, for as long as it may
+    /// hold one whose caller waits for another `left_ms`.
+    pub async fn wait_until_ready(&self, left_ms: u64) {
+        let hold_ms = self.joining.borrow().hold_ms(now_ms(), left_ms);
+        let end_ms = now_ms() + hold_ms;
+        while !self.is_ready() && !self.is_leaving() && now_ms() < end_ms {
+            tokio::time::sleep(READY_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Whether it has been told to stop.
     pub fn is_leaving(&self) -> bool {
         self.leaving_since_ms.get().is_some()
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -80,6 +80,10 @@
     }
 }
 
+/// The time that a caller is assumed to wait if it doesn't tell and its route
+/// is not known yet, in milliseconds.
+const DEFAULT_DEADLINE_MS: u64 = 1_500;
+
 /// Handles a caller's request and returns its answer.
 pub async fn answer<P>(
     host: Rc<EntryHost<P>>,
@@ -109,8 +113,11 @@
         let refusal = host_refusal(Code::HostLeaving, Some(0));
         return refuse(&host, &head.id, refusal);
     }
+    let arrived_ms = now_ms();
+    let left_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+    host.wait_until_ready(left_ms).await;
     let draw = rand::random();
-    let admitted = host.gateway.borrow_mut().admit(now_ms(), &head, draw);
+    let admitted = host.gateway.borrow_mut().admit(arrived_ms, &head, draw);
     let request = match admitted {
         Ok(request) => request,
         Err(refusal) => return refuse(&host, &head.id, refusal),
