Watches of the list of entry hosts return several changes at once

Cause: only the watch of targets paused after changes. While hundreds of entry hosts write their entries, each watcher called once for every few of them.

Change: the pause of the list of targets holds for entry hosts too; who is alive is told by heartbeats.

--- a/crates/raildale/src/fleet/entry/store_watch.rs
+++ b/crates/raildale/src/fleet/entry/store_watch.rs
@@ -34,12 +34,12 @@
 /// back: the shortest wait that the store accepts.
 const RECOVERY_WAIT_MS: u64 = 1;
 
-/// The pause after changes of the list of targets, so that one call returns
-/// several: calls of the store are costly, and a target may leave within two
-/// seconds.
+/// The pause after changes of a list of targets or entry hosts, so that one
+/// call returns several: calls of the store are costly, and a target may leave
+/// within two seconds.
 const BATCH_PAUSE: Duration = Duration::from_millis(150);
 
-/// The same in a large fleet, where targets change all the time: each watcher
+/// The same in a large fleet, where entries change all the time: each watcher
 /// would call six times a second.
 const LARGE_FLEET_BATCH_PAUSE: Duration = Duration::from_millis(400);
 
@@ -214,7 +214,7 @@
     }
     let has_changes = !answer.changes.is_empty();
     host.apply(kind, answer.stamp, answer.changes, is_continuous);
-    if has_changes && kind == Kind::Targets {
+    if has_changes && matches!(kind, Kind::Targets | Kind::EntryHosts) {
         let is_large = host.members.borrow().is_large();
         let pause =
             if is_large { LARGE_FLEET_BATCH_PAUSE } else { BATCH_PAUSE };
