Agents wait for a promised list instead of asking the store

Cause: an agent without a list of agents for 1.5 to 2.2 s asks the store, five calls with its pages. After a start of all every agent is without one until the entry hosts know the targets, and an entry host that doesn't know them yet gave no answer.

Change: an entry host that doesn't know enough says so, and the agent goes on waiting while it is told, at most 8 s.

--- a/crates/raildale-core/src/fleet_message.rs
+++ b/crates/raildale-core/src/fleet_message.rs
@@ -307,6 +307,10 @@
     /// get every report.
     #[prost(bool, tag = "11")]
     pub is_near: bool,
+    /// Whether the sender doesn't know enough for a briefing yet; all other
+    /// fields are empty.
+    #[prost(bool, tag = "12")]
+    pub is_pending: bool,
 }
 
 /// Requests a briefing. Entry hosts brief an agent on their own only when its
--- a/crates/raildale-core/src/swarm/mod.rs
+++ b/crates/raildale-core/src/swarm/mod.rs
@@ -8,11 +8,13 @@
 //! * [`version`]: the chunks held and transfers active for one version.
 //! * [`queue_delay`]: estimates the queueing delay of the inbound link.
 //! * [`window`]: limits the number of concurrent transfers.
+//! * [`list_wait`]: when an agent without a list of agents asks the store.
 //! * [`tree`]: distribution trees inside a large data centre.
 //! * [`swap`]: schedules when the target changes to a new version, so that the
 //!   fleet keeps enough capacity.
 
 pub mod digest;
+pub mod list_wait;
 pub mod queue_delay;
 pub mod reducer;
 pub mod sources;
--- a/crates/raildale/src/fleet/agent/reports.rs
+++ b/crates/raildale/src/fleet/agent/reports.rs
@@ -12,7 +12,7 @@
     Name,
     fleet_message::{Briefing, BriefingRequest, Note, Report},
     gateway::TargetReport,
-    swarm::{Event, Peer, QueueDelay},
+    swarm::{Event, Peer, QueueDelay, list_wait::ListWait},
 };
 use tokio::{net::UdpSocket, sync::mpsc};
 
@@ -47,8 +47,7 @@
     target: SocketAddr,
     subscribers: Rc<RefCell<HashMap<SocketAddr, Subscriber>>>,
     service_info: Rc<ServiceInfo>,
-    /// When the last briefing with a list of agents arrived.
-    listed_ms: Rc<Cell<u64>>,
+    list_wait: Rc<Cell<ListWait>>,
     /// Whether such a briefing has ever arrived.
     has_agent_list: Rc<Cell<bool>>,
     /// The number of regular reports so far; it wraps around.
@@ -79,23 +78,23 @@
         target: SocketAddr,
         service_info: Rc<ServiceInfo>,
         queue_delay: SharedQueueDelay,
+        list_wait: ListWait,
     ) -> Reports {
         Reports {
             socket: Rc::new(socket),
             target,
             subscribers: Rc::default(),
             service_info,
-            listed_ms: Rc::new(Cell::new(now_ms())),
+            list_wait: Rc::new(Cell::new(list_wait)),
             has_agent_list: Rc::default(),
             poll_count: Rc::default(),
             queue_delay,
         }
     }
 
-    /// Returns when the last briefing with a list of agents arrived, or when
-    /// the process started if none has.
-    pub fn last_list_ms(&self) -> u64 {
-        self.listed_ms.get()
+    /// Returns whether the store must be asked for the list of agents.
+    pub fn must_ask_store(&self) -> bool {
+        self.list_wait.get().asks_store(now_ms())
     }
 
     /// Returns the queueing delay of incoming data, in milliseconds.
@@ -130,6 +129,10 @@
         loop {
             let (note, from) = notes.next().await;
             let Note::Briefing(briefing) = note else { continue };
+            if briefing.is_pending {
+                self.update_list_wait(ListWait::record_promise);
+                continue;
+            }
             self.record_subscriber(from, &briefing);
             self.service_info.apply_briefing(&briefing);
             for event in briefing_events(&briefing) {
@@ -151,11 +154,17 @@
         };
         self.subscribers.borrow_mut().insert(from, subscriber);
         if !briefing.agents.is_empty() {
-            self.listed_ms.set(now);
+            self.update_list_wait(ListWait::record_list);
             self.has_agent_list.set(true);
         }
     }
 
+    fn update_list_wait(&self, update: fn(&mut ListWait, u64)) {
+        let mut list_wait = self.list_wait.get();
+        update(&mut list_wait, now_ms());
+        self.list_wait.set(list_wait);
+    }
+
     /// Sends the result of a regular poll of the target; the next one is in
     /// `poll_interval_ms`. Entry hosts of other data centres get one report in
     /// `FAR_REPORT_INTERVAL`.
--- a/crates/raildale/src/fleet/agent/worker.rs
+++ b/crates/raildale/src/fleet/agent/worker.rs
@@ -9,7 +9,7 @@
     gateway::TargetNotice,
     swarm::{
         Effect, Event, Item, LoadMethod, OrderGuard, OrderOutcome, Source,
-        SwapConfig, Swarm, SwarmConfig, TargetStart,
+        SwapConfig, Swarm, SwarmConfig, TargetStart, list_wait::ListWait,
     },
 };
 use tokio::{
@@ -69,9 +69,6 @@
     swarm: Swarm,
     service_info: Rc<ServiceInfo>,
     store: Rc<StoreQueries<P>>,
-    /// The time without a list of agents after which the store is queried, in
-    /// milliseconds.
-    store_query_delay_ms: u64,
     calls: WeightCalls<P>,
     peer_connections: PeerConnections,
     server: Server,
@@ -121,6 +118,7 @@
             target.address,
             service_info.clone(),
             queue_delay.clone(),
+            ListWait::new(now_ms(), store_query_delay_ms()),
         );
         tokio::task::spawn_local(server.clone().run(listener));
         tokio::task::spawn_local(reports.clone().receive(events.clone()));
@@ -137,7 +135,6 @@
             swarm: Swarm::new(swarm_config(&file)),
             service_info,
             store: Rc::new(store),
-            store_query_delay_ms: store_query_delay_ms(),
             calls: WeightCalls::new(platform.clone(), events.clone()),
             peer_connections: PeerConnections::new(
                 file.node.agent_port(),
@@ -195,7 +192,7 @@
         let poll_interval_ms = self.poll_interval_ms();
         let report = self.swarm.report();
         self.reports.send_regular(&report, poll_interval_ms).await;
-        if now_ms() > self.reports.last_list_ms() + self.store_query_delay_ms {
+        if self.reports.must_ask_store() {
             self.store.start();
         }
     }
--- a/crates/raildale/src/fleet/entry/briefings.rs
+++ b/crates/raildale/src/fleet/entry/briefings.rs
@@ -103,10 +103,13 @@
 /// Returns an encoded briefing with the list of agents for the requesting
 /// agent at `ip`.
 ///
-/// Returns `None` if no configuration names its service, if the service's
-/// weights are not spread, or while no agent of a large fleet is listed.
-/// Agents that believe themselves alone each take the whole version from the
-/// origin: after a loss of all, 204 of them made it send 25 copies.
+/// The briefing is pending while no configuration is known, or no agent of a
+/// large fleet is listed. Agents that believe themselves alone each take the
+/// whole version from the origin: after a loss of all, 204 of them made it
+/// send 25 copies. Without an answer each would ask the store.
+///
+/// Returns `None` if the configuration does not name the service, or its
+/// weights are not spread.
 pub fn for_agent<P>(
     host: &EntryHost<P>,
     ip: IpAddr,
@@ -115,12 +118,14 @@
 where
     P: Dialect + Store + 'static,
 {
-    let routing = host.gateway.borrow().routing().cloned()?;
+    let Some(routing) = host.gateway.borrow().routing().cloned() else {
+        return Some(pending_briefing());
+    };
     let service = routing.service(&request.service)?;
     let base = base(&routing, service)?;
     let mut list = AgentList::of_service(host, service);
     if list.agents.is_empty() && host.members.borrow().is_large() {
-        return None;
+        return Some(pending_briefing());
     }
     if let IpAddr::V4(ip) = ip {
         list.add_requester(u32::from(ip), &request.data_centre);
@@ -130,6 +135,11 @@
     Some(frames::encode_note(Note::Briefing(briefing)))
 }
 
+fn pending_briefing() -> Vec<u8> {
+    let pending = Briefing { is_pending: true, ..Briefing::default() };
+    frames::encode_note(Note::Briefing(pending))
+}
+
 /// Returns an encoded briefing, and the address to send it to, for each agent
 /// of the services whose weights are spread.
 pub fn for_all_agents<P>(host: &EntryHost<P>) -> Vec<(IpAddr, Vec<u8>)>
