An entry host that leaves before it is listed does not stay listed

Cause: the own entry is written once the list is known or has been awaited; an entry host told to stop before that deleted its entry first and wrote it after.

Change: nothing is written while leaving, and what was being written is deleted after.

--- a/crates/raildale-core/src/members/joining.rs
+++ b/crates/raildale-core/src/members/joining.rs
@@ -23,6 +23,11 @@
 /// The number of equally likely delays.
 const DELAY_STEPS: u64 = 1 << 20;
 
+/// The random delay before a starting entry host writes its own entry if it
+/// doesn't know the list by then, in milliseconds: at the first start of a
+/// fleet no list is known, and all would write at once.
+const WRITE_DELAY_MS: Range<u64> = 0..450;
+
 /// The random delay before a starting entry host reads the list from the store
 /// if it hears none that knows it, in milliseconds. A seed sends a heartbeat
 /// within the shortest of it.
@@ -46,6 +51,8 @@
     /// How long after it has heard of the list in another data centre it asks
     /// there.
     remote_delay_ms: u64,
+    /// The age from which it writes its own entry without knowing the list.
+    write_delay_ms: u64,
     /// The age from which it reads the list from the store if it hears none
     /// that knows it.
     alone_delay_ms: u64,
@@ -70,6 +77,7 @@
             started_ms,
             is_seed,
             remote_delay_ms: (remote_part * MAX_REMOTE_DELAY_MS) as u64,
+            write_delay_ms: draw(WRITE_DELAY_MS),
             alone_delay_ms: draw(ALONE_DELAY_MS),
             unknown_delay_ms: draw(UNKNOWN_DELAY_MS),
             remote_heard_ms: None,
@@ -86,6 +94,11 @@
         now_ms.saturating_sub(self.started_ms)
     }
 
+    /// Returns whether it writes its own entry without knowing the list.
+    pub fn writes_unlisted(&self, now_ms: u64) -> bool {
+        self.age_ms(now_ms) >= self.write_delay_ms
+    }
+
     /// Returns whether it reads a kind of which it knows nothing from the
     /// store.
     pub fn reads_unknown(&self, now_ms: u64) -> bool {
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -321,10 +321,11 @@
         self.joining.borrow_mut().remote_wait_ms(now_ms())
     }
 
-    /// Whether the store's list of entry hosts is known, or should be by now.
+    /// Whether the store's list of entry hosts is known, or has been awaited
+    /// for long enough.
     pub fn has_awaited_list(&self) -> bool {
         self.store_mirror.is_known(Kind::EntryHosts)
-            || self.joining.borrow().age_ms(now_ms()) >= INITIAL_LISTEN_MS
+            || self.joining.borrow().writes_unlisted(now_ms())
     }
 
     /// Whether a kind may be fetched from another entry host. After its start
--- a/crates/raildale/src/fleet/entry/store_watch.rs
+++ b/crates/raildale/src/fleet/entry/store_watch.rs
@@ -250,7 +250,7 @@
     while !host.has_awaited_list() {
         tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
     }
-    if !host.members.borrow().is_listed() {
+    if !host.members.borrow().is_listed() && !host.is_leaving() {
         write_own_entry(&host).await;
     }
     let mut checked_ms = now_ms();
@@ -287,6 +287,10 @@
         host.record_store_state(false, &format!("own entry: {failure:?}"));
         tokio::time::sleep(backoff(failures)).await;
     }
+    if host.is_leaving() {
+        // The deletion at its leave may have come before the write.
+        delete_member(host, &own.name).await;
+    }
 }
 
 /// Deletes the entries of entry hosts that are gone.
@@ -300,9 +304,16 @@
     }
     let silent = host.members.borrow().silent_for(now, MEMBER_EXPIRY_MS);
     for entry in silent {
-        let deleted = host.platform.delete_member(&entry.name).await;
-        if let Err(failure) = deleted {
-            log::debug!("deleting the entry of {}: {failure:?}", entry.name);
-        }
+        delete_member(host, &entry.name).await;
+    }
+}
+
+/// Deletes the entry of an entry host; a failure is logged.
+async fn delete_member<P>(host: &EntryHost<P>, name: &str)
+where
+    P: Dialect + Store + 'static,
+{
+    if let Err(failure) = host.platform.delete_member(name).await {
+        log::debug!("deleting the entry of {name}: {failure:?}");
     }
 }
