Streams that are resumed go on whatever their rank

Cause: a stream that broke off at one target and goes on at another was held back like a new request of its rank while little was free, though its caller waits for its next event.

Change: it is exempt from the level of its rank.

Measured: gateway.rs, the_last_slots_are_left_to_the_urgent: with nine of ten slots taken a batch request waits, an urgent one and a resumed one are sent.

--- a/crates/raildale-core/src/gateway/waiting.rs
+++ b/crates/raildale-core/src/gateway/waiting.rs
@@ -226,7 +226,8 @@
 
     /// Returns whether a request leaves the free slots to more urgent ones,
     /// given the utilisation of the service's targets. One in several is
-    /// taken without regard to ranks.
+    /// taken without regard to ranks, and so is a stream that is resumed: its
+    /// caller has the beginning.
     pub fn leaves_to_urgent(
         &self,
         now_ms: u64,
@@ -236,8 +237,10 @@
         let Some(queue) = self.queues.get(&request.service.name) else {
             return false;
         };
+        let is_exempt =
+            queue.turns.is_unranked() || request.last_event_ms.is_some();
         let max = queue.rank_demand.max_utilisation(now_ms, request.rank);
-        !queue.turns.is_unranked() && max.is_some_and(|max| utilisation > max)
+        !is_exempt && max.is_some_and(|max| utilisation > max)
     }
 
     /// Records that a request was sent to a target.
--- a/crates/raildale-core/tests/gateway.rs
+++ b/crates/raildale-core/tests/gateway.rs
@@ -1146,6 +1146,26 @@
     }
 }
 
+/// While little is free, the less urgent wait although there is a slot, but
+/// not a stream that broke off elsewhere.
+#[test]
+fn the_last_slots_are_left_to_the_urgent() {
+    let mut gateway = ranked_gateway();
+    let spec = target("t1", "model", 1, Some(1));
+    gateway.targets.put(TargetSpec { slots: 10, ..spec });
+    report_running(&mut gateway, START_MS, 9);
+    let mut urgent = admit_ranked(&mut gateway, "/urgent/", "a");
+    let mut batch = admit_ranked(&mut gateway, "/batch/", "a");
+    assert!(waits(&mut gateway, START_MS, &mut batch));
+    gateway.stop_waiting(&mut batch);
+    let mut resumed = admit_ranked(&mut gateway, "/batch/", "a");
+    resumed.last_event_ms = Some(START_MS);
+    for request in [&mut urgent, &mut resumed] {
+        let next = gateway.next(START_MS, request, START_MS, 0);
+        assert_eq!(sent(next).as_deref(), Some("t1"));
+    }
+}
+
 /// However many urgent requests there are, the others get a turn.
 #[test]
 fn every_rank_gets_a_turn() {
