Revert: what ends during a pause counts as cut

With a fraction of a core the process is late by 0.2 s often, and a pause says nothing about an answer that ended whole.

Change: is undone but for its test. What is needed is what tells two starts of a target apart when an answer ends.

--- a/crates/raildale/src/fleet/entry/attempt.rs
+++ b/crates/raildale/src/fleet/entry/attempt.rs
@@ -192,14 +192,9 @@
         gateway.record_answered(now_ms(), request);
     }
 
-    /// Returns whether the target lives on after the end of its answer, shown
-    /// by another connection that it accepts. An answer that ends with its
-    /// connection ends so too when its target crashes. If the end was read
-    /// late, the target may have crashed and started again by then.
+    /// Returns whether the target accepts another connection. An answer that
+    /// ends with its connection ends so too when its target crashes.
     pub async fn is_target_alive(&self) -> bool {
-        if self.host.pauses.is_recent(now_ms()) {
-            return false;
-        }
         match &self.connection {
             Some(connection) => connection.is_target_alive().await,
             None => false,
