Unframed answers: after a pause the target is asked which start it is

Cause: an answer without frames ends alike when its target crashes. The entry host then opens another connection, which shows a crash only while the target is down.

Another start than the one that got the request makes the answer incomplete; no answer within 0.4 s tells nothing, as before.

Not covered: a target that starts again under the same ID.

--- a/crates/raildale/src/fleet/edge.rs
+++ b/crates/raildale/src/fleet/edge.rs
@@ -189,6 +189,10 @@
         request_id: &str,
     ) -> AnswerHead;
 
+    /// Returns the ID of the target's start that answered a health check;
+    /// `None` if the answer does not contain it.
+    fn answering_start(&self, headers: &HeaderMap) -> Option<Name>;
+
     /// Returns the headers of a target's answer that go to the caller.
     fn caller_headers(&self, target: &HeaderMap) -> HeaderMap;
 
--- a/crates/raildale/src/fleet/entry/attempt.rs
+++ b/crates/raildale/src/fleet/entry/attempt.rs
@@ -105,6 +105,8 @@
     host: Rc<EntryHost<P>>,
     /// The target.
     pub target: Name,
+    /// The path of the target's health checks; empty if there are none.
+    health_path: Name,
     fingerprints: Fingerprints,
     /// The start of the target to which the request was sent.
     pub start: Option<StartId>,
@@ -127,6 +129,7 @@
         Attempt {
             host: host.clone(),
             target: target.clone(),
+            health_path: request.service.health_path.clone(),
             fingerprints: fingerprints.clone(),
             start: request.sent_to,
             connection: None,
@@ -192,13 +195,29 @@
         gateway.record_answered(now_ms(), request);
     }
 
-    /// Returns whether the target accepts another connection. An answer that
-    /// ends with its connection ends so too when its target crashes.
+    /// Returns whether the start of the target that the request was sent to is
+    /// still running: it accepts another connection. An answer that ends with
+    /// its connection ends so too when its target crashes.
     pub async fn is_target_alive(&self) -> bool {
-        match &self.connection {
-            Some(connection) => connection.is_target_alive().await,
-            None => false,
+        let Some(connection) = &self.connection else { return false };
+        let Ok(other) = connection.open_another().await else { return false };
+        // While this process was paused the target may have started again.
+        if self.host.pauses.is_recent(now_ms()) {
+            return !self.is_other_start(other).await;
         }
+        other.keep();
+        true
+    }
+
+    /// Returns whether a health check is answered by another start than the one
+    /// that the request was sent to; false if no answer tells.
+    async fn is_other_start(&self, connection: Connection) -> bool {
+        let Some(headers) = connection.check_health(&self.health_path).await
+        else {
+            return false;
+        };
+        let start = self.host.platform.answering_start(&headers);
+        start.is_some_and(|start| start != self.target)
     }
 
     /// Closes the attempt's connection, so that it is not reused.
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -37,7 +37,7 @@
 
 use self::store_mirror::StoreMirror;
 pub use self::suspects::unix_ms;
-use super::{snapshots::PackedSnapshots, upstream::Pool};
+use super::{delays::Pauses, snapshots::PackedSnapshots, upstream::Pool};
 use crate::{
     error::{Error, ErrorKind},
     fleet::{
@@ -66,6 +66,8 @@
     pub pool: Pool,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// The times in which this process did not run.
+    pub pauses: Pauses,
     /// The number of callers' requests in progress.
     pub in_progress: Cell<usize>,
     /// Set once callers' connections must close as soon as the answers in
@@ -193,6 +195,7 @@
             members: RefCell::new(Members::new(own)),
             pool: Pool::new(),
             metrics: Metrics::new(),
+            pauses: Pauses::default(),
             in_progress: Cell::new(0),
             closing: watch::Sender::new(false),
             leaving_since_ms: Cell::new(None),
--- a/crates/raildale/src/fleet/entry/upstream.rs
+++ b/crates/raildale/src/fleet/entry/upstream.rs
@@ -1,16 +1,20 @@
 //! Connections to targets, kept alive between requests.
 
-use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc};
+use std::{
+    cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    Request, Response,
+    HeaderMap, Request, Response,
     body::Incoming,
     client::conn::http1::{self, SendRequest},
+    header::HOST,
 };
 use hyper_util::rt::TokioIo;
-use tokio::task::AbortHandle;
+use tokio::{task::AbortHandle, time::timeout};
 
 use crate::fleet::{frames, steady_clock::now_ms};
 
@@ -25,6 +29,10 @@
 /// The maximum number of kept connections to one target.
 const MAX_IDLE_CONNECTIONS: usize = 24;
 
+/// The timeout of a health check. A target that has just started has free
+/// slots and answers at once.
+const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Why no answer came.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendFailure {
@@ -73,16 +81,25 @@
         })
     }
 
-    /// Returns whether the target accepts a new connection, which is kept for a
-    /// later request. A process that has crashed does not.
-    pub async fn is_target_alive(&self) -> bool {
-        match self.pool.connect(self.address).await {
-            Ok(connection) => {
-                connection.keep();
-                true
-            }
-            Err(_) => false,
-        }
+    /// Opens another connection to the same address.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`Pool::open`].
+    pub async fn open_another(&self) -> Result<Connection, SendFailure> {
+        self.pool.connect(self.address).await
+    }
+
+    /// Sends a health check, whose answer's body is not read. Returns the
+    /// answer's headers; `None` if none arrives in time.
+    pub async fn check_health(mut self, path: &str) -> Option<HeaderMap> {
+        let request = Request::get(path)
+            .header(HOST, self.address.to_string())
+            .body(Full::new(Bytes::new()))
+            .ok()?;
+        let answering = self.send(request);
+        let answer = timeout(HEALTH_CHECK_TIMEOUT, answering).await.ok()?;
+        Some(answer.ok()?.headers().clone())
     }
 
     /// Keeps the connection for a later request. Must only be called once the
