After a loss of all, an object crosses between data centres a few times

An entry host that has just learnt the list has heard nobody, takes itself for a watcher and fetches the configuration and the list of targets from another data centre at once; one that does not know the list yet does so 0.45 s after its start. At 550 entry hosts 218 objects (6.2 MB) crossed at a start of all and a loss of all, at 250 it was 38.

Change: for a kind of which nothing is known, the listed entry hosts of a data centre ask others in pairs by address, 0.3 s apart; who lacks the list waits for 0.45 to 0.9 s; the first knowledge of a kind is announced at once. Who may ask the store or others is decided in members/sources.rs, moved from the process, so that the simulation uses it too; the recipients of heartbeats likewise.

--- a/crates/raildale-core/src/members/joining.rs
+++ b/crates/raildale-core/src/members/joining.rs
@@ -108,10 +108,16 @@
     /// Returns whether it reads the unknown list of entry hosts from the
     /// store. `is_alone` tells whether it hears none that knows the list.
     pub fn reads_list(&self, now_ms: u64, is_alone: bool) -> bool {
-        let is_late = self.age_ms(now_ms) > self.alone_delay_ms;
+        let is_late = self.has_awaited_list(now_ms);
         self.reads_unknown(now_ms) || is_alone && is_late
     }
 
+    /// Returns whether it has waited for the list for long enough to act
+    /// without it.
+    pub fn has_awaited_list(&self, now_ms: u64) -> bool {
+        self.age_ms(now_ms) > self.alone_delay_ms
+    }
+
     /// Returns whether it has heard of the list in another data centre.
     pub fn has_heard_remote(&self) -> bool {
         self.remote_heard_ms.is_some()
--- a/crates/raildale-core/src/members/mod.rs
+++ b/crates/raildale-core/src/members/mod.rs
@@ -9,11 +9,13 @@
 //! * [`joining`]: how an entry host that starts learns of the others.
 //! * [`relays`]: which entry hosts exchange heartbeats, and the digests
 //!   between data centres.
+//! * [`sources`]: from where an entry host gets what the store holds.
 
 pub mod concentration;
 pub mod fan_out;
 pub mod joining;
 pub mod relays;
+pub mod sources;
 
 use std::{collections::BTreeMap, net::IpAddr};
 
@@ -101,6 +103,10 @@
     concentration: Concentration,
 }
 
+/// The time between two heartbeats, in milliseconds. Three of them fit into the
+/// silence after which an entry host counts as gone.
+pub const HEARTBEAT_INTERVAL_MS: u64 = 400;
+
 /// An entry host counts as gone after this many milliseconds without a
 /// heartbeat: slightly more than three heartbeat intervals.
 pub const SILENT_MS: u64 = 1_400;
@@ -145,6 +151,12 @@
 /// between data centres only once or twice.
 const NON_WATCHER_AHEAD_DELAY_MS: u64 = 1_300;
 
+/// The time between the first fetches of a kind from another data centre by
+/// one pair of entry hosts, in the order of their addresses, and by the next
+/// pair, in milliseconds. It is enough for a fetch and a heartbeat, so the next
+/// pair usually finds the kind in its own data centre.
+const FIRST_FETCH_STEP_MS: u64 = 300;
+
 impl Members {
     /// Creates the state of an entry host that knows no others.
     pub fn new(own: MemberEntry) -> Members {
@@ -442,18 +454,39 @@
             return None;
         };
         let ip = ahead[index];
-        let is_neighbour = self.reaches_member(ip);
-        let delay_ms = match (self.is_watcher(now_ms), is_neighbour) {
-            (true, true) if knows_some => AHEAD_DELAY_MS,
-            (true, false) if knows_some => REMOTE_AHEAD_DELAY_MS,
-            (true, _) | (false, true) => 0,
-            (false, false) => NON_WATCHER_AHEAD_DELAY_MS,
+        let delay_ms = match knows_some {
+            true => self.update_delay_ms(now_ms, ip),
+            false => self.first_fetch_delay_ms(now_ms, ip),
         };
         let since_ms = *self.behind_since_ms.entry(kind).or_insert(now_ms);
         let is_due = now_ms.saturating_sub(since_ms) >= delay_ms;
         is_due.then_some(ip)
     }
 
+    /// Returns how long the entry host at `ip` must be ahead in a known kind
+    /// before it is asked, in milliseconds.
+    fn update_delay_ms(&self, now_ms: u64, ip: IpAddr) -> u64 {
+        match (self.is_watcher(now_ms), self.reaches_member(ip)) {
+            (true, true) => AHEAD_DELAY_MS,
+            (true, false) => REMOTE_AHEAD_DELAY_MS,
+            (false, true) => 0,
+            (false, false) => NON_WATCHER_AHEAD_DELAY_MS,
+        }
+    }
+
+    /// Does the same for a kind of which nothing is known. After a loss of all
+    /// nobody has heard the others yet, so the list decides who crosses
+    /// between data centres.
+    fn first_fetch_delay_ms(&self, now_ms: u64, ip: IpAddr) -> u64 {
+        if self.reaches_member(ip) {
+            return 0;
+        }
+        let before = self.others.range(..self.own.ip).filter(|(_, m)| {
+            m.entry.data_centre == self.own.data_centre && is_alive(m, now_ms)
+        });
+        (before.count() / WATCHERS) as u64 * FIRST_FETCH_STEP_MS
+    }
+
     /// Returns whether another entry host that is heard knows anything of a
     /// kind.
     pub fn any_knows(&self, now_ms: u64, kind: Kind) -> bool {
--- a/crates/raildale-core/src/members/relays.rs
+++ b/crates/raildale-core/src/members/relays.rs
@@ -67,6 +67,22 @@
             .map(|(ip, _)| *ip)
     }
 
+    /// Returns the recipients of heartbeats: the neighbours, and also the seeds
+    /// in a small fleet or while no entry host is heard.
+    pub fn heartbeat_recipients(
+        &self,
+        now_ms: u64,
+        seeds: impl Iterator<Item = IpAddr>,
+    ) -> Vec<IpAddr> {
+        let mut recipients: Vec<IpAddr> = self.neighbours().collect();
+        if !self.is_large() || self.is_isolated(now_ms) {
+            recipients.extend(seeds.filter(|ip| *ip != self.own.ip));
+        }
+        recipients.sort_unstable();
+        recipients.dedup();
+        recipients
+    }
+
     /// Returns whether no other entry host was heard recently. An entry host
     /// that has just started or was disconnected contacts the seeds.
     pub fn is_isolated(&self, now_ms: u64) -> bool {
--- a/crates/raildale/src/fleet/entry/digests.rs
+++ b/crates/raildale/src/fleet/entry/digests.rs
@@ -8,7 +8,7 @@
 
 use raildale_core::{
     fleet_message::{Digest, DigestTarget, Note, Report},
-    members::{fan_out, relays::HEARTBEATS_PER_DIGEST},
+    members::{HEARTBEAT_INTERVAL_MS, fan_out, relays::HEARTBEATS_PER_DIGEST},
 };
 use tokio::net::UdpSocket;
 
@@ -21,8 +21,8 @@
 
 /// The time between two digests of a relay, in milliseconds, as announced to
 /// the receivers: [`HEARTBEATS_PER_DIGEST`] heartbeats.
-const DIGEST_EVERY_MS: u32 = peers::HEARTBEAT_INTERVAL.as_millis() as u32
-    * HEARTBEATS_PER_DIGEST as u32;
+const DIGEST_EVERY_MS: u32 =
+    (HEARTBEAT_INTERVAL_MS * HEARTBEATS_PER_DIGEST) as u32;
 
 /// Sends a digest after heartbeat number `beat` if this entry host is a relay
 /// and due to send one.
--- a/crates/raildale/src/fleet/entry/host/changes.rs
+++ b/crates/raildale/src/fleet/entry/host/changes.rs
@@ -84,6 +84,7 @@
         source: &ChangeSource,
     ) {
         let is_restored = self.is_of_older_era(kind);
+        let is_first = !self.store_mirror.is_known(kind);
         let progress = |object: &StoredObject| self.progress(kind, object);
         let changes =
             self.store_mirror.replace(kind, snapshot, source_extent, progress);
@@ -91,6 +92,10 @@
             self.log_retained(kind);
         }
         self.apply_changes(kind, changes, source);
+        if is_first {
+            // Neighbours that have started at the same time need it as well.
+            self.briefing_due.notify_one();
+        }
     }
 
     /// Returns the targets whose entries have lapsed and may still come back.
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -31,7 +31,7 @@
         Fingerprint, Gateway, GatewayConfig, evacuations::Evacuations,
         retry_budget::RetryBound, routes::Limits,
     },
-    members::{MemberEntry, Members, joining::Joining},
+    members::{MemberEntry, Members, joining::Joining, sources::Sources},
 };
 use tokio::sync::watch;
 
@@ -126,10 +126,6 @@
 /// that an entry host that dies is soon left out.
 const ADDRESS_TTL_S: f64 = 2.0;
 
-/// How long a starting entry host listens before it asks the store, in
-/// milliseconds: others that know more send a heartbeat within 400 ms.
-const INITIAL_LISTEN_MS: u64 = 450;
-
 /// The interval at which a held request checks whether this entry host is
 /// ready.
 const READY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -286,28 +282,27 @@
         knows_targets && knows_evacuations && has_routing && !self.is_leaving()
     }
 
-    /// Whether this entry host should read a kind from the store itself. After
-    /// its start it first listens whether others know the kind: after a loss
-    /// of power all would read the configuration at once. Seeds do not wait,
-    /// because all others turn to them.
+    /// Whether this entry host should read a kind from the store itself.
     pub fn may_ask_store(&self, kind: Kind) -> bool {
-        let now = now_ms();
-        let members = self.members.borrow();
-        let joining = self.joining.borrow();
-        let is_known = self.store_mirror.is_known(kind);
-        if !is_known && kind == Kind::EntryHosts {
-            let is_alone = !members.any_knows(now, kind);
-            return joining.reads_list(now, is_alone);
-        }
-        // In a large fleet only watchers read thousands of targets.
-        let is_first = joining.is_seed() || !members.is_large();
-        if !is_known && is_first && joining.reads_unknown(now) {
-            return true;
-        }
-        // Who does not know the others would take itself for a watcher.
-        let knows_others = self.store_mirror.is_known(Kind::EntryHosts);
-        let has_listened = joining.age_ms(now) >= INITIAL_LISTEN_MS;
-        has_listened && knows_others && members.is_watcher(now)
+        self.with_sources(kind, |s| s.may_ask_store(now_ms(), kind))
+    }
+
+    /// Whether a kind may be fetched from another entry host.
+    pub fn may_ask_peers(&self, kind: Kind) -> bool {
+        self.with_sources(kind, |s| s.may_ask_peers(now_ms(), kind))
+    }
+
+    fn with_sources(
+        &self,
+        kind: Kind,
+        decide: impl FnOnce(Sources<'_>) -> bool,
+    ) -> bool {
+        decide(Sources {
+            members: &self.members.borrow(),
+            joining: &self.joining.borrow(),
+            is_known: self.store_mirror.is_known(kind),
+            is_list_known: self.store_mirror.is_known(Kind::EntryHosts),
+        })
     }
 
     /// Returns the milliseconds until the list of entry hosts may be fetched
@@ -328,16 +323,6 @@
             || self.joining.borrow().writes_unlisted(now_ms())
     }
 
-    /// Whether a kind may be fetched from another entry host. After its start
-    /// an entry host first learns which others there are, in order to fetch
-    /// from a near one.
-    pub fn may_ask_peers(&self, kind: Kind) -> bool {
-        let age_ms = self.joining.borrow().age_ms(now_ms());
-        kind == Kind::EntryHosts
-            || self.store_mirror.is_known(Kind::EntryHosts)
-            || age_ms > INITIAL_LISTEN_MS
-    }
-
     /// Whether a kind is being fetched from another entry host.
     pub fn is_fetching(&self, kind: Kind) -> bool {
         self.fetching.borrow().contains(&kind)
--- a/crates/raildale/src/fleet/entry/peers.rs
+++ b/crates/raildale/src/fleet/entry/peers.rs
@@ -13,7 +13,7 @@
     catalog::{Extent, Kind},
     fleet_message::{Hello, ModelVersionAge, Note, Report},
     gateway::shares::Shares,
-    members::{Heartbeat, MemberEntry},
+    members::{HEARTBEAT_INTERVAL_MS, Heartbeat, MemberEntry},
 };
 use tokio::net::UdpSocket;
 
@@ -29,9 +29,9 @@
     },
 };
 
-/// The time between two heartbeats. Three of them fit into the silence after
-/// which an entry host counts as gone.
-pub(super) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
+/// The time between two heartbeats.
+const HEARTBEAT_INTERVAL: Duration =
+    Duration::from_millis(HEARTBEAT_INTERVAL_MS);
 
 /// The time between two own heartbeats, in milliseconds, above which the
 /// process or its machine is taken to have been suspended: a little over three
@@ -261,18 +261,10 @@
     gateway.targets.notices.set_time_of_day(now, unix_ms());
 }
 
-/// Returns the recipients of heartbeats: the neighbours, and also the seeds in
-/// a small fleet or while no entry host is heard.
+/// Returns the recipients of heartbeats.
 fn heartbeat_recipients<P>(host: &EntryHost<P>) -> Vec<IpAddr> {
-    let members = host.members.borrow();
-    let mut recipients: Vec<IpAddr> = members.neighbours().collect();
-    if !members.is_large() || members.is_isolated(now_ms()) {
-        let seeds = host.node.seed_entry_hosts().map(|seed| seed.ip());
-        recipients.extend(seeds.filter(|ip| *ip != host.node.ip));
-    }
-    recipients.sort_unstable();
-    recipients.dedup();
-    recipients
+    let seeds = host.node.seed_entry_hosts().map(|seed| seed.ip());
+    host.members.borrow().heartbeat_recipients(now_ms(), seeds)
 }
 
 /// Sends a datagram to the entry hosts at `recipients`.
--- a/crates/raildale/src/fleet/entry/snapshots/mod.rs
+++ b/crates/raildale/src/fleet/entry/snapshots/mod.rs
@@ -41,10 +41,10 @@
 /// The initial time-out of a fetch. Each fetch that times out doubles it for
 /// the next one: after a loss of all, hundreds ask the same few for a list of
 /// thousands of targets.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+pub const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// The maximum number of doublings, up to 6.4 s.
-const MAX_TIMEOUT_DOUBLINGS: u32 = 3;
+pub const MAX_TIMEOUT_DOUBLINGS: u32 = 3;
 
 /// The maximum number of concurrent answers. More would share the link and all
 /// arrive late.
--- a/crates/raildale/src/fleet/frames.rs
+++ b/crates/raildale/src/fleet/frames.rs
@@ -42,7 +42,7 @@
 
 /// The maximum size of a datagram, in bytes. Each agent takes 13 bytes of a
 /// briefing while versions are below 128, and 60 bytes of a digest.
-const MAX_DATAGRAM_BYTES: usize = 32 << 10;
+pub const MAX_DATAGRAM_BYTES: usize = 32 << 10;
 
 /// Encodes a datagram.
 pub fn encode_note(note: Note) -> Vec<u8> {
