Bench: the messages between hosts in virtual time (raildale-bench fleet)

It prints traffic by role, ages, times to readiness and how each grows, as a table, CSV and a page with a plot. Left out: requests, chunks, briefings and reports by need.

--- a/crates/raildale-testkit/src/bin/raildale-bench.rs
+++ b/crates/raildale-testkit/src/bin/raildale-bench.rs
@@ -17,6 +17,7 @@
         settings_race::{self, RaceConfig},
     },
     caller::Tally,
+    control::{self, ControlPattern, Sizes},
     load::{self, LoadResult, Pattern},
 };
 use serde::Serialize;
@@ -61,6 +62,9 @@
     /// Simulate a load pattern in virtual time
     #[bpaf(command)]
     Load(#[bpaf(external(load_args))] LoadArgs),
+    /// Simulate the messages between the hosts of a fleet in virtual time
+    #[bpaf(command)]
+    Fleet(#[bpaf(external(fleet_args))] FleetArgs),
     /// Write a page that compares two results of load patterns
     #[bpaf(command)]
     Compare {
@@ -154,6 +158,44 @@
     file: PathBuf,
 }
 
+#[derive(Clone, Debug, Bpaf)]
+struct FleetArgs {
+    /// Numbers of entry hosts to simulate, separated by commas; by default
+    /// that of the pattern
+    #[bpaf(
+        long("entry-hosts"),
+        argument::<String>("N,N"),
+        parse(|list| parse_counts(&list)),
+        fallback(vec![])
+    )]
+    entry_hosts: Vec<usize>,
+    /// Numbers of targets, one for each number of entry hosts; by default in
+    /// proportion to them
+    #[bpaf(
+        argument::<String>("N,N"),
+        parse(|list| parse_counts(&list)),
+        fallback(vec![])
+    )]
+    targets: Vec<usize>,
+    /// Seed of the simulation
+    #[bpaf(argument("SEED"), fallback(1), display_fallback)]
+    seed: u64,
+    /// Write all figures as comma-separated values
+    #[bpaf(argument("FILE"))]
+    csv: Option<PathBuf>,
+    /// Write a page with a plot
+    #[bpaf(argument("FILE"))]
+    page: Option<PathBuf>,
+    /// Pattern of the fleet
+    #[bpaf(positional("FILE"))]
+    file: PathBuf,
+}
+
+/// Parses numbers separated by commas.
+fn parse_counts(list: &str) -> Result<Vec<usize>, std::num::ParseIntError> {
+    list.split(',').map(|number| number.trim().parse()).collect()
+}
+
 fn node_args() -> impl bpaf::Parser<DaemonArgs> {
     let settings = bpaf::long("settings").argument("FILE");
     bpaf::construct!(DaemonArgs { settings, check(bpaf::pure(false)) })
@@ -167,6 +209,7 @@
         Args::Capacity(args) => run_capacity(args),
         Args::Rolling { entries, hosts } => run_rolling(entries, hosts),
         Args::Load(args) => exit_code(run_load(&args)),
+        Args::Fleet(args) => exit_code(run_fleet(&args)),
         Args::Compare { page, first, second } => {
             exit_code(compare(&page, [&first, &second]))
         }
@@ -260,6 +303,45 @@
     Ok(())
 }
 
+fn run_fleet(args: &FleetArgs) -> anyhow::Result<()> {
+    let pattern = ControlPattern::read(&args.file)?;
+    let mut results = Vec::new();
+    for (entry_hosts, targets) in fleet_sizes(args, &pattern)? {
+        let resized = pattern.with_size(entry_hosts, targets)?;
+        results.push(control::simulate(&resized, args.seed));
+    }
+    let sizes = Sizes { results };
+    print!("{sizes}");
+    if let Some(path) = &args.csv {
+        std::fs::write(path, sizes.csv())?;
+    }
+    if let Some(path) = &args.page {
+        std::fs::write(path, control::page::page(&sizes))?;
+    }
+    Ok(())
+}
+
+/// Returns the numbers of entry hosts and targets to simulate.
+fn fleet_sizes(
+    args: &FleetArgs,
+    pattern: &ControlPattern,
+) -> anyhow::Result<Vec<(usize, usize)>> {
+    let entry_hosts = match &args.entry_hosts[..] {
+        [] => vec![pattern.entry_hosts],
+        given => given.to_vec(),
+    };
+    if args.targets.is_empty() {
+        let targets =
+            |hosts: usize| hosts * pattern.targets / pattern.entry_hosts;
+        return Ok(entry_hosts.iter().map(|n| (*n, targets(*n))).collect());
+    }
+    anyhow::ensure!(
+        args.targets.len() == entry_hosts.len(),
+        "1414 as many numbers of targets as of entry hosts are required"
+    );
+    Ok(entry_hosts.into_iter().zip(args.targets.clone()).collect())
+}
+
 fn compare(page: &Path, files: [&PathBuf; 2]) -> anyhow::Result<()> {
     let mut results: Vec<LoadResult> = Vec::new();
     for file in files {
--- a/crates/raildale-testkit/src/lib.rs
+++ b/crates/raildale-testkit/src/lib.rs
@@ -4,10 +4,11 @@
 //! model engines and plain services, and count the calls to them, so that no
 //! figure depends on what the tested processes report. [`bench`] runs real
 //! raildale processes against them on loopback. [`load`] simulates load on a
-//! fleet in virtual time.
+//! fleet in virtual time, [`control`] the messages between its hosts.
 
 pub mod bench;
 pub mod caller;
+pub mod control;
 pub mod engine;
 pub mod fleet;
 pub mod http_server;
