--- a/crates/raildale-testkit/src/control/faults.rs
+++ b/crates/raildale-testkit/src/control/faults.rs
@@ -3,14 +3,11 @@
 use rand::{RngExt, seq::SliceRandom};
 
 use super::{
-    links::MICROS_PER_MS,
+    links::{MICROS_PER_MS, micros},
     pattern::Fault,
     world::{Event, World},
 };
 
-/// The number of microseconds in a second.
-const MICROS_PER_S: f64 = 1e6;
-
 /// The time within which the processes of a kill start again, in
 /// microseconds.
 const START_SPREAD_US: u64 = 300 * MICROS_PER_MS;
@@ -25,8 +22,8 @@
                 | Fault::StoreAway { at_s, lasts_s, .. }
                 | Fault::NarrowLinks { at_s, lasts_s, .. } => (at_s, lasts_s),
             };
-            let at_us = (at_s * MICROS_PER_S) as u64;
-            let end_us = at_us + (lasts_s * MICROS_PER_S) as u64;
+            let at_us = micros(at_s);
+            let end_us = at_us + micros(lasts_s);
             self.schedule(at_us, Event::FaultBegins(number));
             self.schedule(end_us, Event::FaultEnds(number));
         }
--- a/crates/raildale-testkit/src/control/links.rs
+++ b/crates/raildale-testkit/src/control/links.rs
@@ -3,6 +3,14 @@
 /// The number of microseconds in a millisecond.
 pub const MICROS_PER_MS: u64 = 1_000;
 
+/// The number of microseconds in a second.
+const MICROS_PER_S: f64 = 1e6;
+
+/// Returns a time in seconds in microseconds.
+pub fn micros(seconds: f64) -> u64 {
+    (seconds * MICROS_PER_S) as u64
+}
+
 /// A link that transmits one message after the other.
 #[derive(Clone, Copy, Debug)]
 pub struct Link {
--- a/crates/raildale-testkit/src/control/world.rs
+++ b/crates/raildale-testkit/src/control/world.rs
@@ -14,8 +14,8 @@
 
 use super::{
     host::{self, Host},
-    links::{Link, MICROS_PER_MS},
-    messages::{self, DigestNote, Message, RECIPIENT_BYTES},
+    links::{Link, MICROS_PER_MS, micros},
+    messages::{self, DigestNote, HeartbeatNote, Message, RECIPIENT_BYTES},
     pattern::ControlPattern,
     result::ControlResult,
     tally::Tally,
@@ -108,7 +108,7 @@
             Host::new(index, centres, link, joining)
         });
         let hosts = hosts.collect();
-        let warm_up_us = (pattern.warm_up_s * 1e6) as u64;
+        let warm_up_us = micros(pattern.warm_up_s);
         let changes = pattern.changes_s.len();
         World {
             pattern,
@@ -137,11 +137,11 @@
             self.schedule(at_us, Event::Start(index));
         }
         for (number, at_s) in self.pattern.changes_s.iter().enumerate() {
-            self.schedule((at_s * 1e6) as u64, Event::Change(number));
+            self.schedule(micros(*at_s), Event::Change(number));
         }
         self.schedule_faults();
-        self.schedule((self.pattern.warm_up_s * 1e6) as u64, Event::Sample);
-        let end_us = (self.pattern.length_s * 1e6) as u64;
+        self.schedule(micros(self.pattern.warm_up_s), Event::Sample);
+        let end_us = micros(self.pattern.length_s);
         while let Some(((at_us, _), event)) = self.events.pop_first() {
             if at_us > end_us {
                 break;
@@ -311,24 +311,7 @@
             return;
         }
         match message {
-            Message::Heartbeat(note) => {
-                let now_ms = self.now_ms();
-                let host = &mut self.hosts[index];
-                let is_behind = host.is_behind(&note.heartbeat.extents);
-                let entry = note.entry.clone();
-                let heartbeat = note.heartbeat.clone();
-                let is_new =
-                    host.members.on_heartbeat(now_ms, entry, heartbeat);
-                if is_new {
-                    let own = Rc::new(host.heartbeat(index));
-                    let bytes = own.bytes;
-                    let message = Message::Heartbeat(own);
-                    self.send(index, &[note.from], bytes, &message);
-                }
-                if is_behind {
-                    self.fetch_newer(index);
-                }
-            }
+            Message::Heartbeat(note) => self.receive_heartbeat(index, note),
             Message::Digest(note, pass_on_to) => {
                 self.record_digest(index, note);
                 let recipients = match pass_on_to {
@@ -343,6 +326,23 @@
         }
     }
 
+    /// Records a heartbeat, and answers it if its sender may know nothing yet.
+    fn receive_heartbeat(&mut self, index: usize, note: &HeartbeatNote) {
+        let now_ms = self.now_ms();
+        let host = &mut self.hosts[index];
+        let is_behind = host.is_behind(&note.heartbeat.extents);
+        let entry = note.entry.clone();
+        let heartbeat = note.heartbeat.clone();
+        if host.members.on_heartbeat(now_ms, entry, heartbeat) {
+            let own = Rc::new(host.heartbeat(index));
+            let bytes = own.bytes;
+            self.send(index, &[note.from], bytes, &Message::Heartbeat(own));
+        }
+        if is_behind {
+            self.fetch_newer(index);
+        }
+    }
+
     /// Sends a digest if the entry host is a relay and one is due.
     fn send_digest(&mut self, index: usize) {
         let now_ms = self.now_ms();
@@ -436,31 +436,13 @@
 
     /// Compares what is believed with what is true.
     fn sample(&mut self) {
-        let now_ms = self.now_ms();
         let mut takes_dead_for_alive = false;
         for index in 0..self.hosts.len() {
-            if !self.hosts[index].is_up {
-                continue;
+            if self.hosts[index].is_up {
+                self.update_beliefs(index);
+                takes_dead_for_alive |= self.check_beliefs(index);
+                self.sample_digests(index);
             }
-            let changes = self.hosts[index].members.take_changes(now_ms);
-            let believed_up = &mut self.believed_up[index];
-            for (ip, is_up) in changes {
-                if let Some(other) = host::index(ip) {
-                    believed_up[other] = is_up;
-                }
-            }
-            let others = self.hosts.iter().zip(believed_up.iter()).enumerate();
-            for (other, (host, is_believed_up)) in others {
-                if other == index {
-                    continue;
-                }
-                self.tally.beliefs += 1;
-                if host.is_up != *is_believed_up {
-                    self.tally.wrong_beliefs += 1;
-                    takes_dead_for_alive |= *is_believed_up;
-                }
-            }
-            self.sample_digests(index);
         }
         if let (true, Some(killed_us)) = (takes_dead_for_alive, self.killed_us)
         {
@@ -470,6 +452,33 @@
         self.schedule(self.now_us + SAMPLE_INTERVAL_US, Event::Sample);
     }
 
+    fn update_beliefs(&mut self, index: usize) {
+        let now_ms = self.now_ms();
+        for (ip, is_up) in self.hosts[index].members.take_changes(now_ms) {
+            if let Some(other) = host::index(ip) {
+                self.believed_up[index][other] = is_up;
+            }
+        }
+    }
+
+    /// Counts what an entry host believes of the others. Returns whether it
+    /// takes a dead one for alive.
+    fn check_beliefs(&mut self, index: usize) -> bool {
+        let believed_up = self.believed_up[index].iter();
+        let others = self.hosts.iter().zip(believed_up).enumerate();
+        let mut takes_dead_for_alive = false;
+        for (other, (host, is_believed_up)) in others {
+            if other == index {
+                continue;
+            }
+            let is_wrong = host.is_up != *is_believed_up;
+            self.tally.beliefs += 1;
+            self.tally.wrong_beliefs += u64::from(is_wrong);
+            takes_dead_for_alive |= is_wrong && *is_believed_up;
+        }
+        takes_dead_for_alive
+    }
+
     fn sample_digests(&mut self, index: usize) {
         let host = &self.hosts[index];
         for (centre, made_us) in host.digest_made_us.iter().enumerate() {
