--- a/crates/raildale-core/src/members/joining.rs
+++ b/crates/raildale-core/src/members/joining.rs
@@ -108,13 +108,12 @@
     /// Returns whether it reads the unknown list of entry hosts from the
     /// store. `is_alone` tells whether it hears none that knows the list.
     pub fn reads_list(&self, now_ms: u64, is_alone: bool) -> bool {
-        let is_late = self.has_awaited_list(now_ms);
-        self.reads_unknown(now_ms) || is_alone && is_late
+        self.reads_unknown(now_ms) || is_alone && self.acts_unlisted(now_ms)
     }
 
-    /// Returns whether it has waited for the list for long enough to act
-    /// without it.
-    pub fn has_awaited_list(&self, now_ms: u64) -> bool {
+    /// Returns whether it does without the list what it would leave to others
+    /// if it knew them.
+    pub fn acts_unlisted(&self, now_ms: u64) -> bool {
         self.age_ms(now_ms) > self.alone_delay_ms
     }
 
--- a/crates/raildale-core/src/members/sources.rs
+++ b/crates/raildale-core/src/members/sources.rs
@@ -44,11 +44,10 @@
 
     /// Returns whether a kind may be fetched from another entry host. After its
     /// start an entry host first learns which others there are, in order to
-    /// fetch from a near one; it waits longer for the list than it takes to
-    /// arrive.
+    /// fetch from a near one.
     pub fn may_ask_peers(&self, now_ms: u64, kind: Kind) -> bool {
         kind == Kind::EntryHosts
             || self.is_list_known
-            || self.joining.has_awaited_list(now_ms)
+            || self.joining.acts_unlisted(now_ms)
     }
 }
