--- a/review/standin/weights.rs
+++ b/review/standin/weights.rs
@@ -5,7 +5,7 @@
     net::{SocketAddr, TcpStream},
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
 };
 
@@ -41,8 +41,8 @@
 pub struct Origin {
     /// The digests of each version's pieces, from version 1 on.
     digests: Arc<Vec<Vec<String>>>,
-    /// Whether the next manifest is spoilt.
-    spoils_next: Arc<AtomicBool>,
+    /// The version whose next manifest is spoilt; 0 for none.
+    spoils_next: Arc<AtomicU64>,
     /// The number of answers so far.
     answers: Arc<AtomicU64>,
     record: Record,
@@ -67,10 +67,10 @@
         Ok(origin)
     }
 
-    /// Spoils the next manifest that is asked for: one digit of one digest is
-    /// another one.
-    pub fn spoil_next_manifest(&self) {
-        self.spoils_next.store(true, Ordering::SeqCst);
+    /// Spoils the next manifest of a version that is asked for: one digit of
+    /// one digest is another one.
+    pub fn spoil_next_manifest(&self, version: u64) {
+        self.spoils_next.store(version, Ordering::SeqCst);
     }
 
     /// Returns the number of answers so far.
@@ -101,7 +101,9 @@
         mut digests: Vec<String>,
         writer: &mut TcpStream,
     ) -> Next {
-        let is_spoilt = self.spoils_next.swap(false, Ordering::SeqCst);
+        let (order, spoils) = (Ordering::SeqCst, &self.spoils_next);
+        let is_spoilt =
+            spoils.compare_exchange(version, 0, order, order).is_ok();
         if is_spoilt {
             let digest = &mut digests[20];
             let other = if digest.starts_with('0') { "1" } else { "0" };
