--- a/review/standin/callers.rs
+++ b/review/standin/callers.rs
@@ -78,7 +78,8 @@
                 while !is_over.load(Ordering::SeqCst) {
                     let number = number.fetch_add(1, Ordering::SeqCst);
                     let address = to[place % to.len()];
-                    let one = send(kind, number, address, &mut caller, &record);
+                    let one =
+                        send(kind, number, address, &mut caller, &record);
                     if one.answer.status == 0 {
                         place += 1;
                     }
--- a/review/standin/cases/drain.rs
+++ b/review/standin/cases/drain.rs
@@ -87,9 +87,8 @@
         let why = format!("{served} of {count} requests were served");
         return Ok(Verdict::NotRun(why));
     }
-    let is_lost = |id: &String| {
-        sent.iter().any(|one| one.id == *id && !one.is_served())
-    };
+    let is_lost =
+        |id: &String| sent.iter().any(|one| one.id == *id && !one.is_served());
     let lost: Vec<&String> =
         late.iter().map(|(_, id)| id).filter(|id| is_lost(id)).collect();
     for id in &lost {
--- a/review/standin/cases/recover.rs
+++ b/review/standin/cases/recover.rs
@@ -24,6 +24,10 @@
 /// How long the processes are gone.
 const DOWN: Duration = Duration::from_secs(1);
 
+/// How much later than the entry hosts the agents start: machines start within
+/// 0.3 s of each other.
+const START_LAG: Duration = Duration::from_millis(200);
+
 /// How long requests are counted after `RecoveryS`.
 const AFTER: Duration = Duration::from_secs(25);
 
@@ -50,10 +54,7 @@
         let entry = fleet::entry("llm-pool", address, machine, 16, 1);
         store.put("servers", &id, &entry);
     }
-    for machine in MACHINES {
-        fleet.start_entry(machine)?;
-        fleet.start_agent(machine)?;
-    }
+    start_programs(&mut fleet)?;
     if !MACHINES.iter().all(|machine| fleet.wait_until_ready(*machine)) {
         return Ok(Verdict::NotRun("no entry host became ready".into()));
     }
@@ -77,10 +78,7 @@
     if has_trouble {
         origin.spoil_next_manifest(2);
     }
-    for machine in MACHINES {
-        fleet.start_entry(machine)?;
-        fleet.start_agent(machine)?;
-    }
+    start_programs(&mut fleet)?;
     let back_ms = unix_ms();
     record.line("all machines are back");
     thread::sleep(RECOVERY + AFTER);
@@ -112,6 +110,18 @@
     }
 }
 
+/// Starts the project's processes on all machines.
+fn start_programs(fleet: &mut Fleet) -> io::Result<()> {
+    for machine in MACHINES {
+        fleet.start_entry(machine)?;
+    }
+    thread::sleep(START_LAG);
+    for machine in MACHINES {
+        fleet.start_agent(machine)?;
+    }
+    Ok(())
+}
+
 /// Returns the entry of the store that names a version.
 fn named(version: u64) -> String {
     format!("{{\"Model\":\"{MODEL}\",\"Version\":{version}}}")
--- a/review/standin/cases/twice.rs
+++ b/review/standin/cases/twice.rs
@@ -1,9 +1,7 @@
 //! A faulty worker sends more after a whole answer, where the next answer is
 //! due.
 
-use std::{
-    collections::BTreeMap, io, path::Path, thread, time::Duration,
-};
+use std::{collections::BTreeMap, io, path::Path, thread, time::Duration};
 
 use super::{Verdict, read_log};
 use crate::{
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -149,7 +149,11 @@
     }
 
     /// Starts a worker and waits until it listens.
-    pub fn start_worker(&mut self, name: &str, with: &Options) -> io::Result<()> {
+    pub fn start_worker(
+        &mut self,
+        name: &str,
+        with: &Options,
+    ) -> io::Result<()> {
         let mut command = Command::new(std::env::current_exe()?);
         command.args(with.to_arguments());
         command.stdin(Stdio::null());
@@ -226,7 +230,8 @@
         let path = self.folder.join(format!("{name}.toml"));
         fs::write(&path, settings)?;
         let log = self.folder.join(format!("{name}.log"));
-        let log: File = OpenOptions::new().create(true).append(true).open(log)?;
+        let log: File =
+            OpenOptions::new().create(true).append(true).open(log)?;
         let mut command = Command::new("target/release/raildale-platform");
         command
             .arg(role)
@@ -243,7 +248,8 @@
         let child = command.spawn()?;
         let pid = child.id();
         let pids = self.folder.join("pids");
-        let mut pids = OpenOptions::new().create(true).append(true).open(pids)?;
+        let mut pids =
+            OpenOptions::new().create(true).append(true).open(pids)?;
         writeln!(pids, "{pid}")?;
         self.record.line(&format!("start {name} pid={pid}"));
         self.children.push((name.to_string(), child));
@@ -296,7 +302,9 @@
             let (timeout, goal) =
                 if is_stream { (6_000, 400) } else { (1_000, 100) };
             let more = match is_stream {
-                true => ",\"Resumable\":true,\"Sticky\":true,\"GapGoalMs\":300",
+                true => {
+                    ",\"Resumable\":true,\"Sticky\":true,\"GapGoalMs\":300"
+                }
                 false => "",
             };
             format!(
--- a/review/standin/sha256.rs
+++ b/review/standin/sha256.rs
@@ -43,10 +43,8 @@
         let (a, b) = (w[i - 15], w[i - 2]);
         let s0 = a.rotate_right(7) ^ a.rotate_right(18) ^ (a >> 3);
         let s1 = b.rotate_right(17) ^ b.rotate_right(19) ^ (b >> 10);
-        w[i] = w[i - 16]
-            .wrapping_add(s0)
-            .wrapping_add(w[i - 7])
-            .wrapping_add(s1);
+        w[i] =
+            w[i - 16].wrapping_add(s0).wrapping_add(w[i - 7]).wrapping_add(s1);
     }
     let mut v = *h;
     for i in 0..64 {
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -133,7 +133,8 @@
 
 /// Runs a worker until its process is ended.
 pub fn run(options: Options) -> io::Result<()> {
-    let log = OpenOptions::new().create(true).append(true).open(&options.log)?;
+    let log =
+        OpenOptions::new().create(true).append(true).open(&options.log)?;
     let listen = options.listen;
     let staged = match options.version {
         0 => BTreeMap::new(),
@@ -147,9 +148,12 @@
         active: Arc::default(),
         state: Arc::new(Mutex::new(state)),
     };
-    http::serve(listen, move |request, writer, state: &mut ConnectionState| {
-        worker.answer(request, writer, state)
-    })?;
+    http::serve(
+        listen,
+        move |request, writer, state: &mut ConnectionState| {
+            worker.answer(request, writer, state)
+        },
+    )?;
     loop {
         thread::park();
     }
@@ -324,7 +328,8 @@
         is_unframed: bool,
         writer: &mut TcpStream,
     ) -> Next {
-        let body = format!("{:-<BODY_BYTES$}", format!("answer to {attempt} "));
+        let body =
+            format!("{:-<BODY_BYTES$}", format!("answer to {attempt} "));
         let framing = match is_unframed {
             true => "Connection: close\r\n".to_string(),
             false => format!("Content-Length: {BODY_BYTES}\r\n"),
@@ -370,10 +375,8 @@
         }
         for id in after + 1..=self.options.events {
             thread::sleep(Duration::from_millis(self.options.event_ms));
-            let event = format!(
-                "id: {id}\ndata: {id} of {}\n\n",
-                self.options.events
-            );
+            let event =
+                format!("id: {id}\ndata: {id} of {}\n\n", self.options.events);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if writer.write_all(chunk.as_bytes()).is_err() {
                 self.log(&format!("dropped {attempt} before event {id}"));
@@ -390,7 +393,5 @@
 
 /// Returns the layers that a worker holds, as it tells them.
 pub fn layers_json(version: u64) -> String {
-    format!(
-        "{{\"From\":0,\"TargetVersion\":{LAYERS},\"Version\":{version}}}"
-    )
+    format!("{{\"From\":0,\"TargetVersion\":{LAYERS},\"Version\":{version}}}")
 }
