Fetch a manifest again that received chunks contradict

One digit of one digest was wrong in the first manifest that the origin gave, and no agent got a whole version.

Cause: a manifest was only doubted while none of its chunks was held, so one with a single wrong digest was never fetched again.

Fix: a chunk that mismatches twice with the same bytes from the origin, or once from another agent (agents only send chunks that match their own manifest), contradicts the manifest. It is then fetched again from the source of that chunk. Digests of held chunks are confirmed by their bytes and stay; the others are replaced, and their chunks are requested at once. Spoilt chunks differ from each other and cost no manifest. A doubt is used up by one fetch and needs new evidence, so a manifest that stays wrong costs no more manifests than chunks. Events 413 and 414 show the steps.

Same cause elsewhere, read only: a late answer to an earlier manifest request replaced the digests of held chunks; it is merged now too.

--- a/crates/raildale-core/src/log_event.rs
+++ b/crates/raildale-core/src/log_event.rs
@@ -84,6 +84,8 @@
     ActivationFailed = 410, Alarm, "the target did not accept the order to serve a version";
     ManifestMismatch = 411, Alarm, "the origin's manifest is not the one in the settings";
     SpreadProgress = 412, Info, "progress of the spread of the wanted version";
+    ManifestContradicted = 413, Warn, "chunks contradict a manifest, which is fetched again";
+    ManifestReplaced = 414, Info, "digests of missing chunks were replaced by those of a later manifest";
     SwapBegun = 420, Info, "the target takes no new requests: it changes to another version";
     SwapOrdered = 421, Info, "the target was ordered to load a version";
     UnexpectedOrder = 422, Warn, "the target has started an order that no response reported";
--- a/crates/raildale-core/src/swarm/reducer/arrivals.rs
+++ b/crates/raildale-core/src/swarm/reducer/arrivals.rs
@@ -10,11 +10,12 @@
     swarm::{
         digest::WeightDigest,
         sources::{ATTEMPTS_PER_SOURCE, Source},
+        version::Version,
     },
 };
 
 /// The number of consecutive digest mismatches in chunks from the origin after
-/// which the manifest is treated as corrupt, if no chunk is held.
+/// which the manifest is fetched again, if no chunk is held.
 const MAX_ORIGIN_MISMATCHES: u32 = 3;
 
 impl Swarm {
@@ -41,12 +42,22 @@
             return;
         };
         slot.failures = 0;
-        for waiter in slot.waiters.drain(..) {
-            let content = Content::Manifest(digests.clone());
-            effects.push(Effect::Answer { ticket: waiter.ticket, content });
+        let waiters = std::mem::take(&mut slot.waiters);
+        let replaced = held.merge_digests(digests);
+        if let Some(digests) = &held.digests {
+            for waiter in waiters {
+                let ticket = waiter.ticket;
+                let content = Content::Manifest(digests.clone());
+                effects.push(Effect::Answer { ticket, content });
+            }
         }
-        held.digests = Some(digests);
         held.progress_ms = now_ms;
+        if replaced > 0 {
+            let detail = format!(
+                "version={version} replaced={replaced} from={source:?}"
+            );
+            effects.push(Effect::Log(LogEvent::ManifestReplaced, detail));
+        }
         self.insert_prior_chunks(now_ms, version, effects);
     }
 
@@ -78,12 +89,14 @@
         let Some(slot) = held.slots.get_mut(place) else { return };
         slot.fetch = None;
         let was_whole = held.is_whole();
-        let error = result.as_ref().err().copied();
-        let is_stored =
-            result.is_ok_and(|data| held.insert_verified(place, data));
-        if !is_stored {
+        let failure = match result {
+            Ok(data) if held.insert_verified(place, data.clone()) => None,
+            Ok(data) => Some(ChunkFailure::Mismatch(data)),
+            Err(error) => Some(ChunkFailure::Transfer(error)),
+        };
+        if let Some(failure) = failure {
             self.record_chunk_failure(
-                now_ms, version, index, source, error, effects,
+                now_ms, version, index, source, failure, effects,
             );
             return;
         }
@@ -96,41 +109,29 @@
         }
     }
 
-    /// Records a failed transfer of a chunk, or a digest mismatch if `error`
-    /// is `None`.
+    /// Records that a chunk was not received.
     fn record_chunk_failure(
         &mut self,
         now_ms: u64,
         version: u64,
         index: u32,
         source: Source,
-        error: Option<FetchError>,
+        failure: ChunkFailure,
         effects: &mut Vec<Effect>,
     ) {
         let Some(held) = self.versions.get_mut(&version) else { return };
         let Some(slot) = held.slots.get_mut(index as usize) else { return };
-        slot.failures += match error {
-            Some(FetchError::Lost) => ATTEMPTS_PER_SOURCE,
-            Some(FetchError::Absent) | None => 1,
+        slot.failures += match failure {
+            ChunkFailure::Transfer(FetchError::Lost) => ATTEMPTS_PER_SOURCE,
+            ChunkFailure::Transfer(FetchError::Absent)
+            | ChunkFailure::Mismatch(_) => 1,
         };
         slot.not_before_ms = now_ms + pause_ms(slot.failures);
-        if error.is_none() {
+        if let ChunkFailure::Mismatch(data) = failure {
             let detail =
                 format!("version={version} chunk={index} from={source:?}");
             effects.push(Effect::Log(LogEvent::ChunkCorrupt, detail));
-            if source == Source::Origin {
-                held.origin_mismatches += 1;
-            }
-        }
-        if held.origin_mismatches >= MAX_ORIGIN_MISMATCHES
-            && held.held_count() == 0
-        {
-            held.digests = None;
-            held.origin_mismatches = 0;
-            // Makes another source the first choice for the next manifest.
-            held.manifest.failures = ATTEMPTS_PER_SOURCE;
-            let detail = format!("version={version}");
-            effects.push(Effect::Log(LogEvent::ManifestMismatch, detail));
+            record_mismatch(held, index, source, &data, effects);
         }
     }
 
@@ -150,6 +151,50 @@
     }
 }
 
+/// Why a chunk was not received.
+#[derive(Debug)]
+enum ChunkFailure {
+    /// The transfer failed.
+    Transfer(FetchError),
+    /// These bytes do not match their digest.
+    Mismatch(Bytes),
+}
+
+/// Records a chunk that does not match its digest, and whether the manifest
+/// has to be fetched again.
+///
+/// Another agent only sends chunks that match its own manifest, so a mismatch
+/// shows that the two manifests differ. An answer of the origin may be spoilt
+/// itself.
+fn record_mismatch(
+    held: &mut Version,
+    index: u32,
+    source: Source,
+    data: &[u8],
+    effects: &mut Vec<Effect>,
+) {
+    let is_contradicted = match source {
+        Source::Peer(_) => true,
+        Source::Origin => {
+            held.origin_mismatches += 1;
+            let is_repeated = held.record_rejected(index as usize, data);
+            let is_unconfirmed = held.held_count() == 0
+                && held.origin_mismatches >= MAX_ORIGIN_MISMATCHES;
+            is_repeated || is_unconfirmed
+        }
+    };
+    if is_contradicted {
+        held.origin_mismatches = 0;
+        held.contradicted_by = Some(source);
+        let detail = format!(
+            "version={} chunk={index} from={source:?} held={}",
+            held.number,
+            held.held_count()
+        );
+        effects.push(Effect::Log(LogEvent::ManifestContradicted, detail));
+    }
+}
+
 fn pause_ms(failures: u32) -> u64 {
     (RETRY_PAUSE_MS << failures.min(4)).min(MAX_RETRY_PAUSE_MS)
 }
--- a/crates/raildale-core/src/swarm/reducer/transfers.rs
+++ b/crates/raildale-core/src/swarm/reducer/transfers.rs
@@ -5,7 +5,7 @@
     log_event::LogEvent,
     swarm::{
         sources::{ATTEMPTS_PER_SOURCE, Source, Sources},
-        version::{Fetch, Version},
+        version::{Fetch, Slot, Version},
     },
 };
 
@@ -68,6 +68,7 @@
             starter.budget.subtract_active(held);
             let is_needed = needed.contains(number);
             if held.digests.is_some() {
+                starter.refetch_manifest(held);
                 starter.start_chunks(held, is_needed);
             } else if is_needed
                 || !held.manifest.waiters.is_empty()
@@ -269,20 +270,53 @@
         }
     }
 
+    /// Fetches a manifest that received chunks contradict from the source of
+    /// these chunks, within the budget.
+    fn refetch_manifest(&mut self, held: &mut Version) {
+        let Some(source) = held.contradicted_by else { return };
+        if self.is_startable(&held.manifest)
+            && self.start_from(held, Item::Manifest, source)
+        {
+            held.contradicted_by = None;
+        }
+    }
+
     /// Requests an item unless a transfer is active, a retry is pending or the
     /// budget is exhausted.
     fn start(&mut self, held: &mut Version, item: Item) {
         let version = held.number;
         let Some(slot) = held.slot_mut(item) else { return };
-        if slot.fetch.is_some() || self.now_ms < slot.not_before_ms {
-            return;
+        if self.is_startable(slot) {
+            let source = self.pick_source(
+                version,
+                item,
+                slot.failures,
+                slot.request_hops(),
+            );
+            self.start_from(held, item, source);
         }
-        let hops = slot.waiters.iter().map(|w| w.hops + 1).max().unwrap_or(0);
-        let source = self.pick_source(version, item, slot.failures, hops);
+    }
+
+    /// Returns whether no transfer is active and no retry is pending.
+    fn is_startable(&self, slot: &Slot) -> bool {
+        slot.fetch.is_none() && self.now_ms >= slot.not_before_ms
+    }
+
+    /// Requests an item from a source, within the budget. Returns whether the
+    /// transfer was started.
+    fn start_from(
+        &mut self,
+        held: &mut Version,
+        item: Item,
+        source: Source,
+    ) -> bool {
+        let version = held.number;
+        let Some(slot) = held.slot_mut(item) else { return false };
+        let hops = slot.request_hops();
         let may_wait = !self.sources.holds(source, version);
         let is_requested = !slot.waiters.is_empty();
         if !self.try_reserve(item, source, may_wait, is_requested) {
-            return;
+            return false;
         }
         let timeout_ms = match may_wait {
             true => INDIRECT_FETCH_TIMEOUT_MS,
@@ -291,6 +325,7 @@
         let deadline_ms = self.now_ms + timeout_ms;
         slot.fetch = Some(Fetch { source, deadline_ms, may_wait });
         self.effects.push(Effect::Fetch { version, item, source, hops });
+        true
     }
 
     /// Selects a source, given the remaining budget for the origin.
--- a/crates/raildale-core/src/swarm/version.rs
+++ b/crates/raildale-core/src/swarm/version.rs
@@ -44,6 +44,17 @@
     pub not_before_ms: u64,
     /// Pending requests of other agents for the item.
     pub waiters: Vec<Waiter>,
+    /// The digest of the last chunk received from the origin that did not
+    /// match the manifest; `None` for the manifest itself.
+    pub rejected: Option<WeightDigest>,
+}
+
+impl Slot {
+    /// Returns the number of agents that a request for the item has passed,
+    /// including this one if others wait for it.
+    pub fn request_hops(&self) -> u32 {
+        self.waiters.iter().map(|w| w.hops + 1).max().unwrap_or(0)
+    }
 }
 
 /// The state of one version.
@@ -52,7 +63,8 @@
     /// The version number.
     pub number: u64,
     /// The digests of the chunks, in order; `None` until the manifest is
-    /// received.
+    /// received. That of a missing chunk is unconfirmed: no bytes are known
+    /// that match it.
     pub digests: Option<Vec<WeightDigest>>,
     /// The transfer state of the manifest.
     pub manifest: Slot,
@@ -63,6 +75,9 @@
     /// The number of consecutive chunks received directly from the origin that
     /// did not match their digests. The manifest itself may be corrupt.
     pub origin_mismatches: u32,
+    /// The source whose chunks contradict the manifest, from which the
+    /// manifest is to be fetched again.
+    pub contradicted_by: Option<Source>,
     /// When the last missing chunk was stored; `None` while any is missing.
     pub whole_ms: Option<u64>,
     /// When the manifest or a chunk was last received.
@@ -81,6 +96,7 @@
             chunks: vec![None; chunk_count],
             held_count: 0,
             origin_mismatches: 0,
+            contradicted_by: None,
             whole_ms: None,
             progress_ms: 0,
         }
@@ -106,6 +122,39 @@
         self.chunks.iter().cloned().collect()
     }
 
+    /// Adopts a received manifest. Returns the number of known digests that it
+    /// replaced; their chunks may be requested again at once. The digests of
+    /// held chunks are confirmed by their bytes and stay, whatever a later
+    /// manifest contains.
+    pub fn merge_digests(&mut self, received: Vec<WeightDigest>) -> usize {
+        let Some(known) = &mut self.digests else {
+            self.digests = Some(received);
+            return 0;
+        };
+        let mut replaced = 0;
+        for (index, (known, received)) in
+            known.iter_mut().zip(received).enumerate()
+        {
+            if self.chunks[index].is_none() && *known != received {
+                *known = received;
+                let slot = &mut self.slots[index];
+                slot.failures = 0;
+                slot.not_before_ms = 0;
+                replaced += 1;
+            }
+        }
+        replaced
+    }
+
+    /// Records a chunk from the origin that does not match the manifest.
+    /// Returns whether its bytes are those of the previous mismatch. Spoilt
+    /// answers differ from one another, so the digest is probably wrong then.
+    pub fn record_rejected(&mut self, index: usize, data: &[u8]) -> bool {
+        let digest = WeightDigest::of(data);
+        let Some(slot) = self.slots.get_mut(index) else { return false };
+        slot.rejected.replace(digest) == Some(digest)
+    }
+
     /// Stores a chunk if it matches its digest. Returns whether it was stored;
     /// always `false` while the manifest is unknown.
     pub fn insert_verified(&mut self, index: usize, data: Bytes) -> bool {
@@ -121,6 +170,10 @@
             self.held_count += 1;
         }
         self.chunks[index] = Some(data);
+        self.slots[index].rejected = None;
+        if self.is_whole() {
+            self.contradicted_by = None;
+        }
         true
     }
 
--- a/crates/raildale-core/tests/swarm_world/mod.rs
+++ b/crates/raildale-core/tests/swarm_world/mod.rs
@@ -7,7 +7,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BinaryHeap, HashMap},
+    collections::{BinaryHeap, HashMap, VecDeque},
     net::{IpAddr, Ipv4Addr},
 };
 
@@ -50,6 +50,10 @@
     pub lost_per_mille: u32,
     /// Corrupt chunks per thousand chunks from the origin.
     pub corrupt_per_mille: u32,
+    /// Whether each corrupt chunk has the same bytes.
+    pub is_corruption_constant: bool,
+    /// A chunk whose digest is wrong in every manifest from the origin.
+    pub wrong_digest: Option<u32>,
     /// The number of agents that never respond.
     pub dead_agents: usize,
     /// Whether the origin is unreachable.
@@ -156,6 +160,11 @@
     pub machines: Vec<Machine>,
     /// The number of chunks that the origin sent.
     pub origin_chunks: u64,
+    /// The number of manifests that the origin sent.
+    pub origin_manifests: u64,
+    /// The chunks whose digests are wrong in the next manifests from the
+    /// origin, by manifest.
+    pub wrong_digests: VecDeque<Vec<u32>>,
     /// The maximum number of targets that accepted no new requests at the same
     /// time.
     pub max_closed: usize,
@@ -267,6 +276,8 @@
             now_ms: START_MS,
             machines: (0..count).map(machine).collect(),
             origin_chunks: 0,
+            origin_manifests: 0,
+            wrong_digests: VecDeque::new(),
             max_closed: 0,
             faults,
             links: None,
@@ -311,7 +322,8 @@
         self.restart_agent(machine);
     }
 
-    fn restart_agent(&mut self, machine: usize) {
+    /// Restarts a machine's agent, which loses its state.
+    pub fn restart_agent(&mut self, machine: usize) {
         let centre = centre_of(machine, self.centre_count);
         self.machines[machine].swarm = agent_in(machine, centre);
         self.machines[machine].agent_number += 1;
@@ -607,13 +619,13 @@
             Item::Manifest => Event::Manifest {
                 version,
                 source,
-                result: Ok(digests_of(version, self.chunk_count)),
+                result: Ok(self.origin_digests(version)),
             },
             Item::Chunk(index) => {
                 self.origin_chunks += 1;
                 let data = match self.draw_fault(self.faults.corrupt_per_mille)
                 {
-                    true => Bytes::from_static(b"spoilt"),
+                    true => self.corrupt_chunk(),
                     false => chunk(version, index),
                 };
                 transfer_event(version, item, source, Ok(data))
@@ -621,6 +633,25 @@
         }
     }
 
+    /// Returns the digests in the next manifest from the origin.
+    fn origin_digests(&mut self, version: u64) -> Vec<WeightDigest> {
+        self.origin_manifests += 1;
+        let mut digests = digests_of(version, self.chunk_count);
+        let mut wrong = self.wrong_digests.pop_front().unwrap_or_default();
+        wrong.extend(self.faults.wrong_digest);
+        for index in wrong {
+            digests[index as usize] = WeightDigest::of(b"wrong");
+        }
+        digests
+    }
+
+    fn corrupt_chunk(&self) -> Bytes {
+        match self.faults.is_corruption_constant {
+            true => Bytes::from_static(b"spoilt"),
+            false => Bytes::from(format!("spoilt {}", self.origin_chunks)),
+        }
+    }
+
     fn answer(&mut self, from: usize, ticket: Ticket, content: Content) {
         let Some((to, version, item)) =
             self.pending_requests.remove(&ticket.0)
