Take a single failed call of the store for no outage

Cause: a cut watch counted as an outage of the store and the next answer, 0.1 s later, as its return. An entry that goes within 2.2 s of a return counts as lapsed and may come back, and each cut moved that time on. Evidence: with the same cuts and no other change than this, cut_watches.rs passes; one cut just before the removal is enough to fail it before.

Fix: only a second consecutive failure of the same watch, or an answer of the store that it is unavailable, shows an outage. A call that is cut or rejected alone, and whose repetition is answered, is counted in store_interruptions_total. This already held for silent connections.

Same cause elsewhere: a rejected call (429), tested.

--- a/crates/raildale/src/fleet/entry/store_watch.rs
+++ b/crates/raildale/src/fleet/entry/store_watch.rs
@@ -127,49 +127,64 @@
                 }
             }
             Err(failure) => {
+                failures += 1;
                 if kind == Kind::Versions {
                     on_versions_watch_failed(
                         &host, failure, failures, started_ms,
                     );
                 }
-                failures += 1;
-                if failure == StoreFailure::Silent && failures == 1 {
-                    // The connection alone may be dead: then the store is not
-                    // away, and its next answer does not count as a return.
-                    continue;
+                if shows_outage(failure, failures) {
+                    let detail = format!("kind={kind:?} failure={failure:?}");
+                    host.record_store_state(false, &detail);
+                    host.metrics.add("store_failures_total", "", 1);
+                } else {
+                    host.metrics.add("store_interruptions_total", "", 1);
+                }
+                if failure != StoreFailure::Silent || failures > 1 {
+                    tokio::time::sleep(backoff(failures)).await;
                 }
-                let detail = format!("kind={kind:?} failure={failure:?}");
-                host.record_store_state(false, &detail);
-                host.metrics.add("store_failures_total", "", 1);
-                tokio::time::sleep(backoff(failures)).await;
             }
         }
     }
 }
 
+/// Returns whether the last of `failures` consecutive failures of a watch
+/// shows that the store is away.
+///
+/// The store may cut a waiting watch or reject a call while it serves others,
+/// and a connection may fall silent alone. Then the next call is answered, and
+/// that answer does not count as a return: no entry lapsed meanwhile.
+fn shows_outage(failure: StoreFailure, failures: u32) -> bool {
+    match failure {
+        StoreFailure::Unavailable => true,
+        StoreFailure::Silent | StoreFailure::Lost | StoreFailure::Busy => {
+            failures > 1
+        }
+        StoreFailure::HistoryGone => false,
+    }
+}
+
 /// Handles a failure of the watch of versions, which began at `started_ms` and
-/// followed `failures` consecutive failures.
+/// is the last of `failures` consecutive ones.
 ///
 /// An unavailable store accepts no new version either, so versions found at
 /// its return are dated by the last failure and not by the last answer. Dated
 /// by the last answer, a version named at the end of 8 s without the store
 /// left 13% of that half minute's requests unserved; dated by the last
-/// failure, none. A connection that has just fallen silent shows nothing about
-/// the store.
+/// failure, none. A first failure of the connection shows nothing about the
+/// store.
 fn on_versions_watch_failed<P>(
     host: &EntryHost<P>,
     failure: StoreFailure,
     failures: u32,
     started_ms: u64,
 ) {
-    let is_away = match failure {
-        StoreFailure::Silent => {
-            host.store_silent.notify_waiters();
-            failures > 0
-        }
-        StoreFailure::Unavailable | StoreFailure::Lost => true,
-        StoreFailure::Busy | StoreFailure::HistoryGone => false,
-    };
+    if failure == StoreFailure::Silent {
+        host.store_silent.notify_waiters();
+    }
+    // A store that is too busy for this call may accept a version.
+    let is_away =
+        failure != StoreFailure::Busy && shows_outage(failure, failures);
     if is_away {
         host.gateway.borrow_mut().record_versions_heard(started_ms);
     }
@@ -284,7 +299,7 @@
     let mut failures = 0;
     while let Err(failure) = host.platform.put_member(&own).await {
         failures += 1;
-        host.record_store_state(false, &format!("own entry: {failure:?}"));
+        log::debug!("writing the own entry: {failure:?}");
         tokio::time::sleep(backoff(failures)).await;
     }
     if host.is_leaving() {
