Limit the memory of answers of targets that never end

Cause: an event of a stream was buffered until its end, whatever its length, and each whole answer up to 8 MiB, whatever the others held.

Fix: a stream breaks off once an event passes 256 KiB. Answers above 64 KiB are read within 32 MiB for all of them together: each first reserves what it may still need, so that one that has begun is always read to its end, and the others wait without being read. Both ends log their cause (Oversized), close the connection, and lead to what any broken answer leads to: elsewhere if the request may be repeated, else 504.

Memory is compared with the smallest machines (112 MB an entry host, 128 MB an agent).

--- a/crates/raildale-core/src/gateway/event_stream.rs
+++ b/crates/raildale-core/src/gateway/event_stream.rs
@@ -2,6 +2,10 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// The maximum size of an incomplete event, in bytes. A target that fails may
+/// send bytes without any end of an event.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// Splits a stream's bytes at the ends of events.
 ///
 /// Only whole events are passed on, so that a stream that breaks off within an
@@ -44,6 +48,11 @@
         !self.pending.is_empty()
     }
 
+    /// Returns whether the incomplete event is too long to be buffered further.
+    pub fn is_oversized(&self) -> bool {
+        self.pending.len() > MAX_EVENT_BYTES
+    }
+
     /// Removes and returns the buffered bytes, for a stream that has ended.
     pub fn take_partial(&mut self) -> Bytes {
         self.pending.split().freeze()
--- a/crates/raildale-core/tests/event_stream.rs
+++ b/crates/raildale-core/tests/event_stream.rs
@@ -42,3 +42,27 @@
     let next = splitter.push(Bytes::from_static(b"id: 2\ndata: b\n\n"));
     assert_eq!(next.as_deref(), Some(&b"id: 2\ndata: b\n\n"[..]));
 }
+
+#[test]
+fn an_event_without_an_end_is_oversized_after_a_while() {
+    const PIECE_BYTES: usize = 1 << 10;
+    let mut splitter = EventSplitter::new();
+    let mut pieces = 0;
+    while !splitter.is_oversized() {
+        let piece = Bytes::from(vec![b'x'; PIECE_BYTES]);
+        assert_eq!(splitter.push(piece), None);
+        pieces += 1;
+        assert!(pieces <= 1 << 10, "more than 1 MiB is buffered");
+    }
+    splitter.discard_partial();
+    assert!(!splitter.is_oversized());
+}
+
+#[test]
+fn large_whole_events_are_not_oversized() {
+    let mut splitter = EventSplitter::new();
+    let mut event = vec![b'x'; 2 << 20];
+    event.extend_from_slice(b"\n\n");
+    assert!(splitter.push(Bytes::from(event)).is_some());
+    assert!(!splitter.is_oversized());
+}
--- a/crates/raildale/src/fleet/entry/attempt.rs
+++ b/crates/raildale/src/fleet/entry/attempt.rs
@@ -34,6 +34,8 @@
     Version,
     /// The target was silent, and another one began to answer.
     Silence(Silence),
+    /// The answer, or an event of it, is longer than it may be.
+    Oversized,
     /// The answer ended with its connection, as it may, but the target accepts
     /// no other one: it crashed within the answer.
     TargetGone,
@@ -75,7 +77,8 @@
     }
 
     /// Reads an event stream up to the end of its first event, or of the
-    /// stream. Returns false if the body fails or ends within an event.
+    /// stream. Returns false if the body fails or ends within an event, or if
+    /// the event is too long.
     pub async fn read_first_event(&mut self) -> bool {
         let mut splitter = EventSplitter::new();
         loop {
@@ -88,6 +91,9 @@
             if splitter.push(data).is_some() {
                 return true;
             }
+            if splitter.is_oversized() {
+                return false;
+            }
         }
     }
 }
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -37,7 +37,10 @@
 
 use self::store_mirror::StoreMirror;
 pub use self::suspects::unix_ms;
-use super::{delays::Pauses, snapshots::PackedSnapshots, upstream::Pool};
+use super::{
+    answer_memory::LargeAnswers, delays::Pauses, snapshots::PackedSnapshots,
+    upstream::Pool,
+};
 use crate::{
     error::{Error, ErrorKind},
     fleet::{
@@ -64,6 +67,8 @@
     pub members: RefCell<Members>,
     /// Kept connections to targets.
     pub pool: Pool,
+    /// The memory for answers that are read whole.
+    pub large_answers: LargeAnswers,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// The times in which this process did not run.
@@ -190,6 +195,7 @@
             gateway: RefCell::new(gateway),
             members: RefCell::new(Members::new(own)),
             pool: Pool::new(),
+            large_answers: LargeAnswers::new(),
             metrics: Metrics::new(),
             pauses: Pauses::default(),
             in_progress: Cell::new(0),
--- a/crates/raildale/src/fleet/entry/mod.rs
+++ b/crates/raildale/src/fleet/entry/mod.rs
@@ -21,6 +21,7 @@
 //! * [`digests`]: messages between the data centres of a large fleet.
 //! * [`snapshots`]: transfer of whole kinds of object between entry hosts.
 
+pub mod answer_memory;
 pub mod attempt;
 pub mod briefings;
 pub mod callers;
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -3,7 +3,7 @@
 use std::{pin::Pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     HeaderMap, Method, Request, Response, Uri,
     body::{Body, Incoming},
@@ -21,6 +21,7 @@
 
 use super::{
     EntryHost,
+    answer_memory::ReadFailure,
     attempt::{Attempt, Cause, Opened},
     callers::{self, RequestGuard},
     heads,
@@ -49,9 +50,6 @@
 
 impl std::error::Error for BodyFailure {}
 
-/// The maximum size of a target's answer that is not a stream, in bytes.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
-
 /// The time-out for reading a request's body.
 const REQUEST_BODY_TIMEOUT: Duration = Duration::from_millis(2_000);
 
@@ -440,14 +438,15 @@
         let Opened { response, mut attempt, is_unframed, .. } = opened;
         let (parts, body) = response.into_parts();
         let remaining_ms = self.request.due_ms.saturating_sub(now_ms()).max(1);
-        let reading = Limited::new(body, MAX_ANSWER_BYTES).collect();
+        let reading = self.host.large_answers.read(body);
         let remaining = Duration::from_millis(remaining_ms);
         let read = match tokio::time::timeout(remaining, reading).await {
             Ok(Ok(_)) if is_unframed && !attempt.is_target_alive().await => {
                 Err(Cause::TargetGone)
             }
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(_)) => Err(Cause::Target),
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(ReadFailure::Broken)) => Err(Cause::Target),
+            Ok(Err(ReadFailure::Oversized)) => Err(Cause::Oversized),
             Err(_) => Err(Cause::Deadline),
         };
         let body = match read {
--- a/crates/raildale/src/fleet/entry/stream_body.rs
+++ b/crates/raildale/src/fleet/entry/stream_body.rs
@@ -110,6 +110,12 @@
                         self.event_times.record_event(now_ms());
                         return Some(Ok(whole));
                     }
+                    if self.splitter.is_oversized()
+                        && let Some(failure) =
+                            self.resume(Cause::Oversized).await
+                    {
+                        return Some(Err(failure));
+                    }
                 }
                 StreamInput::End => match self.cut_cause().await {
                     Some(cause) => {
