Close connections to agents whose answers never end

Cause: slices of a chunk were joined without a limit for as long as each said that more follow, slices that answer no request were acknowledged without end, and a request without an answer stayed on its connection, which later requests used too.

Fix: a chunk of more than 16 MiB, a slice that answers no request, or 15 s without a complete answer end the connection; what was requested on it counts as lost, and the next request opens another one.

--- a/crates/raildale/src/fleet/agent/peer_connections.rs
+++ b/crates/raildale/src/fleet/agent/peer_connections.rs
@@ -2,9 +2,10 @@
 
 use std::{
     cell::RefCell,
-    collections::HashMap,
+    collections::{HashMap, hash_map::Entry},
     net::{IpAddr, SocketAddr},
     rc::Rc,
+    time::Duration,
 };
 
 use bytes::{Bytes, BytesMut};
@@ -19,10 +20,18 @@
 use super::reports::SharedQueueDelay;
 use crate::{
     codec,
-    error::Error,
+    error::{Error, ErrorKind},
     fleet::{frames, steady_clock::now_ms},
 };
 
+/// The maximum size of a chunk, in bytes.
+const MAX_CHUNK_BYTES: usize = 16 << 20;
+
+/// How long a request may go without a complete answer until its connection
+/// is closed, in milliseconds. An agent answers within 1.2 s, and a slow link
+/// delays a full window of chunks by 6 s.
+const ANSWER_TIMEOUT_MS: u64 = 15_000;
+
 /// A request for an item.
 #[derive(Clone, Copy, Debug)]
 pub struct ItemFetch {
@@ -135,7 +144,11 @@
 ) -> Result<(), Error> {
     let mut last_id = 0;
     loop {
+        let oldest_ms = pending.values().map(|p| p.request.requested_ms).min();
         tokio::select! {
+            () = wait_until_overdue(oldest_ms) => {
+                return Err(Error::new(ErrorKind::Io, "no answer in time"));
+            }
             request = requests.recv() => {
                 let Some(request) = request else { return Ok(()) };
                 last_id += 1;
@@ -157,7 +170,7 @@
                     queue_delay.borrow_mut().record(now, from, reply.sent_ms);
                     framed.send(slice_ack_frame()).await?;
                 }
-                if let Some((request, reply)) = assemble(pending, reply) {
+                if let Some((request, reply)) = assemble(pending, reply)? {
                     let source = Source::Peer(address.ip());
                     // The main loop, which receives events, only ends with the
                     // process.
@@ -168,20 +181,42 @@
     }
 }
 
+/// Waits until the oldest request, sent at `oldest_ms`, should have had its
+/// answer; forever if there is none.
+async fn wait_until_overdue(oldest_ms: Option<u64>) {
+    let Some(oldest_ms) = oldest_ms else {
+        return std::future::pending().await;
+    };
+    let left_ms = (oldest_ms + ANSWER_TIMEOUT_MS).saturating_sub(now_ms());
+    tokio::time::sleep(Duration::from_millis(left_ms)).await;
+}
+
 /// Adds a slice to its answer. Returns the request and its complete answer
 /// once the last slice has arrived.
+///
+/// # Errors
+///
+/// [`ErrorKind::Frame`] if the slice answers no request, or the answer is too
+/// long.
 fn assemble(
     pending: &mut HashMap<u64, PendingRequest>,
     reply: ItemResponse,
-) -> Option<(ItemFetch, ItemResponse)> {
-    let entry = pending.get_mut(&reply.question)?;
-    entry.chunk.extend(reply.chunk.iter().flatten());
+) -> Result<Option<(ItemFetch, ItemResponse)>, Error> {
+    let Entry::Occupied(mut entry) = pending.entry(reply.question) else {
+        return Err(Error::new(ErrorKind::Frame, "answers no request"));
+    };
+    let chunk = &mut entry.get_mut().chunk;
+    let slice = reply.chunk.as_deref().unwrap_or_default();
+    if chunk.len() + slice.len() > MAX_CHUNK_BYTES {
+        return Err(Error::new(ErrorKind::Frame, "chunk too long"));
+    }
+    chunk.extend_from_slice(slice);
     if reply.left_bytes > 0 {
-        return None;
+        return Ok(None);
     }
-    let PendingRequest { request, chunk } = pending.remove(&reply.question)?;
+    let PendingRequest { request, chunk } = entry.remove();
     let chunk = reply.chunk.is_some().then(|| chunk.freeze());
-    Some((request, ItemResponse { chunk, ..reply }))
+    Ok(Some((request, ItemResponse { chunk, ..reply })))
 }
 
 fn slice_ack_frame() -> Bytes {
--- a/crates/raildale/src/fleet/entry/snapshots/mod.rs
+++ b/crates/raildale/src/fleet/entry/snapshots/mod.rs
@@ -201,7 +201,13 @@
     Ok(())
 }
 
-async fn fetch(
+/// Fetches a kind from the entry host at `from`.
+///
+/// # Errors
+///
+/// [`ErrorKind::Io`] if the connection fails, [`ErrorKind::Frame`] if the
+/// first frame is no snapshot.
+pub async fn fetch(
     from: SocketAddr,
     kind: Kind,
 ) -> Result<SnapshotResponse, Error> {
