--- a/crates/raildale/src/fleet/agent/calls.rs
+++ b/crates/raildale/src/fleet/agent/calls.rs
@@ -15,6 +15,12 @@
     steady_clock::now_ms,
 };
 
+/// The maximum size of all staged chunks, in bytes: half of an agent's memory.
+const MAX_STAGED_BYTES: usize = 64 << 20;
+
+/// The maximum number of staged chunks.
+const MAX_STAGED_CHUNKS: usize = 4_096;
+
 /// Calls to the target and to the origin.
 #[derive(Debug)]
 pub struct WeightCalls<P> {
@@ -118,14 +124,23 @@
 }
 
 /// Returns all staged chunks; `None` if the list or one of them could not be
-/// read.
+/// read, or if they are too many or too large.
 async fn read_all_staged<P: WeightTarget>(
     platform: &P,
     model: &str,
 ) -> Option<Vec<(u32, Bytes)>> {
     let mut chunks = Vec::new();
-    for index in platform.staged(model).await? {
+    let mut read_bytes = 0;
+    let staged = platform.staged(model).await?;
+    if staged.len() > MAX_STAGED_CHUNKS {
+        return None;
+    }
+    for index in staged {
         let data = platform.read_staged(model, index).await?;
+        read_bytes += data.len();
+        if read_bytes > MAX_STAGED_BYTES {
+            return None;
+        }
         chunks.push((index, data));
     }
     Some(chunks)
