Count only new digests as progress, reject long answers at once

A manifest that brings nothing new no longer counts as progress of its version. Progress delays the decision to load the version before, though the new test passes without this change as well. An answer whose length is above the limit is not read up to it first.

--- a/crates/raildale-core/src/swarm/reducer/arrivals.rs
+++ b/crates/raildale-core/src/swarm/reducer/arrivals.rs
@@ -43,6 +43,7 @@
         };
         slot.failures = 0;
         let waiters = std::mem::take(&mut slot.waiters);
+        let is_first = held.digests.is_none();
         let replaced = held.merge_digests(digests);
         if let Some(digests) = &held.digests {
             for waiter in waiters {
@@ -51,7 +52,9 @@
                 effects.push(Effect::Answer { ticket, content });
             }
         }
-        held.progress_ms = now_ms;
+        if is_first || replaced > 0 {
+            held.progress_ms = now_ms;
+        }
         if replaced > 0 {
             let detail = format!(
                 "version={version} replaced={replaced} from={source:?}"
--- a/crates/raildale-core/tests/spoilt_manifests.rs
+++ b/crates/raildale-core/tests/spoilt_manifests.rs
@@ -122,6 +122,23 @@
     }
 }
 
+/// Manifests that bring nothing new are no progress: the version before is
+/// loaded in place of the one that cannot be completed.
+#[test]
+fn a_skipped_version_is_loaded_if_the_next_digest_stays_wrong() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 12, 1, Faults::default());
+        world.run_for(1_000);
+        world.name_version(2);
+        world.run_for(150);
+        world.faults.wrong_digest = Some(3);
+        world.name_version(3);
+        world.run_for(7_000);
+        assert_eq!(world.serving_count(2), 12, "seed {seed}");
+        assert_eq!(world.invalid_loads(), 0, "seed {seed}");
+    }
+}
+
 /// The manifest is correct, and must not be replaced by the chunk's digest.
 #[test]
 fn a_chunk_that_is_always_corrupt_is_never_loaded() {
--- a/crates/raildale/src/fleet/entry/answer_memory.rs
+++ b/crates/raildale/src/fleet/entry/answer_memory.rs
@@ -78,9 +78,14 @@
         body: &Incoming,
         length: usize,
     ) -> Result<SemaphorePermit<'_>, ReadFailure> {
-        let left = body.size_hint().exact().unwrap_or(u64::MAX);
         let max_left = MAX_ANSWER_BYTES - length;
-        let left = usize::try_from(left).unwrap_or(max_left).min(max_left);
+        let left = match body.size_hint().exact() {
+            Some(left) if left > max_left as u64 => {
+                return Err(ReadFailure::Oversized);
+            }
+            Some(left) => left as usize,
+            None => max_left,
+        };
         // At most [`MAX_ANSWER_BYTES`].
         let bytes = (length + left) as u32;
         let permit = self.free_bytes.acquire_many(bytes).await;
