Log what a version's date is based on, and what a target served

Event 308 names the basis of a version's date, who told it and whether a watch or the last answer dated it. 510 and 513 name the version that the target was believed to serve when the request was sent, and the time left until its bound. A counter by basis is added. No decision changes.

--- a/crates/raildale-core/src/gateway/versions.rs
+++ b/crates/raildale-core/src/gateway/versions.rs
@@ -36,6 +36,27 @@
     Heard,
 }
 
+impl NamingBasis {
+    /// Returns the label for log lines and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            NamingBasis::Assumed => "assumed",
+            NamingBasis::Recorded => "recorded",
+            NamingBasis::Heard => "heard",
+        }
+    }
+}
+
+/// The version that a target is believed to serve, and the bound on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServedVersion {
+    /// Its number.
+    pub version: u64,
+    /// Milliseconds until nothing may start on it any more; `None` while no
+    /// newer version is known.
+    pub bound_left_ms: Option<u64>,
+}
+
 /// How much earlier than recorded a version may have been named, in
 /// milliseconds: the time of day may step by this much.
 const RECORD_ERROR_MS: u64 = 2_000;
@@ -218,6 +239,22 @@
             .collect()
     }
 
+    /// Returns which version of a model a target is believed to serve; `None`
+    /// if it is not known or the model has no weights.
+    pub fn served_version(
+        &self,
+        now_ms: u64,
+        model: Option<&str>,
+        target: &str,
+    ) -> Option<ServedVersion> {
+        let target = self.targets.get(target)?;
+        let version = target.serves_version(now_ms)?;
+        let bounds = self.version_bounds(now_ms, model);
+        let newer = bounds.iter().filter(|bound| bound.version > version);
+        let bound_left_ms = newer.map(|bound| bound.left_ms).min();
+        Some(ServedVersion { version, bound_left_ms })
+    }
+
     /// Returns the lowest version of a model that may still start work
     /// `ahead_ms` from now; 0 if there is no bound.
     pub fn min_version(&self, now_ms: u64, model: &str, ahead_ms: u64) -> u64 {
--- a/crates/raildale/src/fleet/entry/attempt.rs
+++ b/crates/raildale/src/fleet/entry/attempt.rs
@@ -13,7 +13,7 @@
     Name,
     gateway::{
         Admission, EventSplitter, Fingerprints, Outcome, outcomes::Silence,
-        target_end::StartId,
+        target_end::StartId, versions::ServedVersion,
     },
 };
 
@@ -117,6 +117,9 @@
     /// The start of the target to which the request was sent.
     pub start: Option<StartId>,
     connection: Option<Connection>,
+    /// The version that the target was believed to serve when the request was
+    /// sent; `None` if that was not known.
+    pub served: Option<ServedVersion>,
     /// When the request was sent, in milliseconds of the steady clock.
     pub sent_ms: u64,
     /// Whether an event, or a whole answer, has arrived.
@@ -132,6 +135,9 @@
         fingerprints: &Fingerprints,
         target: &Name,
     ) -> Attempt<P> {
+        let now = now_ms();
+        let model = request.model.as_deref();
+        let served = host.gateway.borrow().served_version(now, model, target);
         Attempt {
             host: host.clone(),
             target: target.clone(),
@@ -139,7 +145,8 @@
             fingerprints: fingerprints.clone(),
             start: request.sent_to,
             connection: None,
-            sent_ms: now_ms(),
+            served,
+            sent_ms: now,
             has_begun: false,
             is_over: false,
         }
--- a/crates/raildale/src/fleet/entry/host/changes.rs
+++ b/crates/raildale/src/fleet/entry/host/changes.rs
@@ -1,6 +1,8 @@
 //! Applies the store's changes to routing, to the list of targets, to the
 //! versions and to the entry hosts.
 
+use std::net::IpAddr;
+
 use raildale_core::{
     LogEvent, Name,
     catalog::{Change, Extent, Kind, Snapshot, Stamp, StoredObject},
@@ -9,7 +11,7 @@
         Target,
         lapse::{Lapse, RELIST_TIMEOUT_MS, StoreView},
         target_end::StartId,
-        versions::{NamedVersion, VersionChange},
+        versions::{NamedVersion, NamingBasis, VersionChange},
     },
 };
 
@@ -17,7 +19,7 @@
 use crate::{
     error::Error,
     fleet::{
-        edge::{Dialect, Store},
+        edge::{Dialect, NamedWeights, Store},
         steady_clock::now_ms,
     },
 };
@@ -130,11 +132,12 @@
         );
     }
 
-    /// Handles the versions in another entry host's heartbeat. `heard_age_ms`
-    /// says how long ago it last learned from the store which versions are
-    /// named.
+    /// Handles the versions in the heartbeat of the entry host at `ip`.
+    /// `heard_age_ms` says how long ago it last learned from the store which
+    /// versions are named.
     pub fn handle_peer_versions(
         &self,
+        ip: IpAddr,
         versions: Vec<ModelVersionAge>,
         heard_age_ms: Option<u64>,
     ) {
@@ -142,8 +145,8 @@
         for ModelVersionAge { model, version, age_ms } in versions {
             let named_ms = now.saturating_sub(age_ms);
             let named = NamedVersion { version, named_ms };
-            let from = "from=entry host";
-            self.record_version(Name::from(model), named, from);
+            let from = format!("from={ip}");
+            self.record_version(Name::from(model), named, &from);
         }
         if let Some(age_ms) = heard_age_ms {
             let heard_ms = now.saturating_sub(age_ms);
@@ -398,7 +401,8 @@
         else {
             return;
         };
-        self.apply_naming_records(&named);
+        let source_text = format!("revision={} from={from}", object.stamp);
+        self.apply_naming_records(&named, &source_text);
         let is_known =
             self.gateway.borrow().knows_version(&named.model, named.version);
         // The object does not contain the time of naming: whoever reported the
@@ -411,18 +415,19 @@
         let is_any_heard = gateway.versions_heard_ms().is_some();
         let earliest_ms = gateway.earliest_naming_ms(now);
         drop(gateway);
-        let named_ms = match (source, is_any_heard) {
-            (ChangeSource::Store { is_continuous: true }, _) => now,
-            (ChangeSource::Store { .. }, true) => earliest_ms,
+        let (named_ms, dated_by) = match (source, is_any_heard) {
+            (ChangeSource::Store { is_continuous: true }, _) => (now, "watch"),
+            (ChangeSource::Store { .. }, true) => (earliest_ms, "last answer"),
             // Another entry host's heartbeats tell the age, if it knows it.
             (ChangeSource::Store { .. }, false)
             | (ChangeSource::EntryHost { .. }, _) => {
-                self.record_unheard(&named.model, named.version, None);
+                let NamedWeights { model, version, .. } = named;
+                self.record_unheard(&model, version, None, &source_text);
                 return;
             }
         };
         let version = NamedVersion { version: named.version, named_ms };
-        let source_text = format!("revision={} from={from}", object.stamp);
+        let source_text = format!("{source_text} dated_by={dated_by}");
         self.record_version(named.model, version, &source_text);
     }
 
@@ -445,15 +450,34 @@
             self.briefing_due.notify_one();
         }
         if is_logged {
-            let detail = format!(
-                "model={model} version={} age_ms={} {source_text}",
-                named.version,
-                now_ms().saturating_sub(named.named_ms)
-            );
-            self.log(LogEvent::VersionNamed, &detail);
+            let age_ms = now_ms().saturating_sub(named.named_ms);
+            let age_text = format!("age_ms={age_ms}");
+            let basis = NamingBasis::Heard;
+            let (model, version) = (&model, named.version);
+            self.log_naming(model, version, basis, &age_text, source_text);
         }
     }
 
+    /// Logs when a version was named as far as is known, on what basis, and
+    /// from where that is known.
+    pub(super) fn log_naming(
+        &self,
+        model: &str,
+        version: u64,
+        basis: NamingBasis,
+        age_text: &str,
+        source_text: &str,
+    ) {
+        let basis = basis.label();
+        let label = format!("basis=\"{basis}\"");
+        self.metrics.add("versions_dated_total", &label, 1);
+        let detail = format!(
+            "model={model} version={version} basis={basis} {age_text} \
+             {source_text}"
+        );
+        self.log(LogEvent::VersionNamed, &detail);
+    }
+
     fn apply_members(&self) {
         let snapshot = self.store_mirror.snapshot(Kind::EntryHosts);
         let entries = snapshot
--- a/crates/raildale/src/fleet/entry/host/naming_records.rs
+++ b/crates/raildale/src/fleet/entry/host/naming_records.rs
@@ -31,22 +31,28 @@
 
 impl<P: Dialect + Store + 'static> EntryHost<P> {
     /// Takes over the recorded namings of a model, where no running entry host
-    /// has told better.
-    pub(super) fn apply_naming_records(&self, named: &NamedWeights) {
+    /// has told better. `source_text` says where they are from, for the log.
+    pub(super) fn apply_naming_records(
+        &self,
+        named: &NamedWeights,
+        source_text: &str,
+    ) {
         let unix_ms = unix_ms();
         for record in &named.records {
             let age_ms = unix_ms.saturating_sub(record.unix_ms);
-            self.record_unheard(&named.model, record.version, Some(age_ms));
+            let (model, version) = (&named.model, record.version);
+            self.record_unheard(model, version, Some(age_ms), source_text);
         }
     }
 
     /// Records a version of which no running entry host has told when it was
-    /// named.
+    /// named. `source_text` says where it is from, for the log.
     pub(super) fn record_unheard(
         &self,
         model: &Name,
         version: u64,
         recorded_age_ms: Option<u64>,
+        source_text: &str,
     ) {
         let mut gateway = self.gateway.borrow_mut();
         let change = gateway.record_unheard_version(
@@ -60,11 +66,11 @@
             return;
         }
         self.briefing_due.notify_one();
-        let detail = format!(
-            "model={model} version={version} recorded_age_ms={}",
-            recorded_age_ms.map_or("none".to_string(), |ms| ms.to_string()),
-        );
-        self.log(raildale_core::LogEvent::VersionNamed, &detail);
+        let (basis, age_text) = match recorded_age_ms {
+            Some(ms) => (NamingBasis::Recorded, format!("age_ms={ms}")),
+            None => (NamingBasis::Assumed, "age_ms=unknown".to_string()),
+        };
+        self.log_naming(model, version, basis, &age_text, source_text);
     }
 
     /// Writes the namings that the store lacks, if this entry host watches the
--- a/crates/raildale/src/fleet/entry/peers.rs
+++ b/crates/raildale/src/fleet/entry/peers.rs
@@ -126,7 +126,8 @@
         demand_per_s: f64::from(hello.demand_per_s),
         is_concentrating: hello.is_concentrating,
     };
-    host.handle_peer_versions(hello.versions, hello.versions_heard_age_ms);
+    let heard_age_ms = hello.versions_heard_age_ms;
+    host.handle_peer_versions(ip, hello.versions, heard_age_ms);
     host.handle_peer_suspects(hello.suspects);
     host.handle_peer_notices(ip, hello.notices);
     host.members.borrow_mut().on_heartbeat(now_ms(), entry, heartbeat)
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -475,7 +475,7 @@
         *response.status_mut() = parts.status;
         *response.headers_mut() =
             self.host.platform.caller_headers(&parts.headers);
-        self.log_done(&attempt.target, parts.status, "");
+        self.log_done(&attempt, parts.status, "");
         Some(response)
     }
 
--- a/crates/raildale/src/fleet/entry/stream_body.rs
+++ b/crates/raildale/src/fleet/entry/stream_body.rs
@@ -148,7 +148,6 @@
         self.is_over = true;
         let request = &mut self.exchange.request;
         self.attempt.end_with_success(request);
-        let target = self.attempt.target.clone();
         let first_ms = self
             .event_times
             .first_ms
@@ -159,7 +158,8 @@
             self.event_times.longest_pause_ms
         );
         self.exchange.host.metrics.record("first_event_ms", "", first_ms);
-        self.exchange.log_done(&target, hyper::StatusCode::OK, &event_times);
+        let status = hyper::StatusCode::OK;
+        self.exchange.log_done(&self.attempt, status, &event_times);
         None
     }
 
