Date versions only by what those who told it knew

What callers saw: streams that began on an older version after its bound, at one target, from several entry hosts, after all had started anew.

Cause: an entry host dated a version that it found in the store by when the store had last answered any other one. Heartbeats told that time and the versions that somebody had heard being named, but not those that the sender knew and could not date. After a start of all, the second entry host took an undated version for named since the first one's start, told everybody so, and wrote it into the store.

Why it works: NamedVersions holds until when every naming is known together with the versions, undated ones included, and heartbeats carry all three. A version is dated only by a time at which it was known not to be named yet. The time that earlier builds tell is not read any more. A version whose successor the list no longer shows counts as undated too.

--- a/crates/raildale-core/src/fleet_message.rs
+++ b/crates/raildale-core/src/fleet_message.rs
@@ -10,8 +10,12 @@
 use prost::Message;
 
 use crate::{
+    Name,
     catalog::{Extent, Stamp},
-    gateway::TargetReport,
+    gateway::{
+        TargetReport,
+        versions::{NamedVersion, told::ToldVersions},
+    },
 };
 
 /// A datagram.
@@ -70,10 +74,15 @@
     /// these ages.
     #[prost(message, repeated, tag = "7")]
     pub versions: Vec<ModelVersionAge>,
-    /// Milliseconds since any entry host last read the named versions from the
-    /// store, as far as the sender knows; `None` if it does not know.
-    #[prost(uint64, optional, tag = "8")]
-    pub versions_heard_age_ms: Option<u64>,
+    // Tag 8 is reserved: earlier builds tell there when the store last
+    // answered, without the versions that they can't date.
+    /// The newest version of each model that no entry host heard being named.
+    #[prost(message, repeated, tag = "15")]
+    pub unheard_versions: Vec<ModelVersion>,
+    /// Milliseconds since the time until which the sender knows every naming;
+    /// `None` if it may lack some.
+    #[prost(uint64, optional, tag = "16")]
+    pub versions_complete_age_ms: Option<u64>,
     /// The recent rate of requests to the entry host, in requests a second.
     #[prost(float, tag = "9")]
     pub demand_per_s: f32,
@@ -110,6 +119,45 @@
         self.revisions.iter().enumerate().map(extent).collect()
     }
 
+    /// Returns what the sender tells of the named versions, at `now_ms` on this
+    /// process's clock.
+    pub fn told_versions(&self, now_ms: u64) -> ToldVersions {
+        let at_ms = |age_ms: u64| now_ms.saturating_sub(age_ms);
+        let heard = self.versions.iter().map(|told| {
+            let named_ms = at_ms(told.age_ms);
+            let named = NamedVersion { version: told.version, named_ms };
+            (Name::from(told.model.as_str()), named)
+        });
+        let unheard = self.unheard_versions.iter();
+        let unheard =
+            unheard.map(|told| (Name::from(&*told.model), told.version));
+        ToldVersions {
+            heard: heard.collect(),
+            unheard: unheard.collect(),
+            complete_until_ms: self.versions_complete_age_ms.map(at_ms),
+        }
+    }
+
+    /// Sets the fields that hold what is told of the named versions, at
+    /// `now_ms` on this process's clock.
+    pub fn with_told_versions(self, now_ms: u64, told: ToldVersions) -> Hello {
+        let age_ms = |at_ms: u64| now_ms.saturating_sub(at_ms);
+        let heard = told.heard.into_iter().map(|(model, named)| {
+            let (model, version) = (model.to_string(), named.version);
+            let age_ms = age_ms(named.named_ms);
+            ModelVersionAge { model, version, age_ms }
+        });
+        let unheard = told.unheard.into_iter().map(|(model, version)| {
+            ModelVersion { model: model.to_string(), version }
+        });
+        Hello {
+            versions: heard.collect(),
+            unheard_versions: unheard.collect(),
+            versions_complete_age_ms: told.complete_until_ms.map(age_ms),
+            ..self
+        }
+    }
+
     /// Sets the fields that hold the extents, by kind.
     pub fn with_extents(self, extents: &[Extent]) -> Hello {
         let changed = || extents.iter().map(|extent| extent.changed);
@@ -254,6 +302,17 @@
     pub age_ms: u64,
 }
 
+/// A version of a model.
+#[derive(Clone, PartialEq, Message)]
+pub struct ModelVersion {
+    /// The model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// The version's number.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+}
+
 /// A version of a model and how long ago it was named.
 #[derive(Clone, PartialEq, Message)]
 pub struct ModelVersionAge {
--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -16,8 +16,8 @@
     shares::{Sender, Shares},
     target::Target,
     target_end::TargetEnd,
-    targets::{Need, Targets, VersionBound},
-    versions::{NamedVersion, NamingBasis},
+    targets::{Need, Targets},
+    versions::{NamedVersions, VersionBound},
     waiting::{TargetAvailability, WaitDecision, WaitQueues, max_retry_ms},
 };
 use crate::{Code, Name};
@@ -45,12 +45,8 @@
     /// The known targets.
     pub targets: Targets,
     budgets: HashMap<Name, RetryBudget>,
-    pub(super) versions: HashMap<Name, Vec<NamedVersion>>,
-    /// Versions of models whose naming time is a guess or a record.
-    pub(super) unheard_versions: HashMap<(Name, u64), NamingBasis>,
-    /// When the store last reported the named versions to any entry host, as
-    /// far as known here, on this process's clock.
-    pub(super) versions_heard_ms: Option<u64>,
+    /// The named versions of models' weights.
+    pub versions: NamedVersions,
     /// The number of entry hosts that are alive.
     entry_hosts: usize,
     /// The number of entry hosts that may exist, alive or not.
@@ -98,14 +94,13 @@
 impl Gateway {
     /// Creates a gateway without a configuration, targets or peers.
     pub fn new(config: GatewayConfig) -> Gateway {
+        let versions = NamedVersions::new(config.version_ms);
         Gateway {
             config,
             routing: None,
             targets: Targets::new(),
             budgets: HashMap::new(),
-            versions: HashMap::new(),
-            unheard_versions: HashMap::new(),
-            versions_heard_ms: None,
+            versions,
             entry_hosts: 1,
             known_entry_hosts: 1,
             arrivals: DecayingSum::new(DEMAND_HALF_LIFE_MS),
@@ -281,8 +276,8 @@
         self.targets.update_own_slots(now_ms, &request.service);
         let model = request.model.as_deref();
         let bounds = self.version_bounds(now_ms, model);
-        let min_version =
-            model.map_or(0, |model| self.min_version(now_ms, model, 0));
+        let min_version = model
+            .map_or(0, |model| self.versions.min_version(now_ms, model, 0));
         let need = self.need(now_ms, request, &bounds);
         if let Some(obstacle) = self.targets.place_obstacle(need) {
             return self.refuse_displaced(request, obstacle);
@@ -484,6 +479,17 @@
         self.wait_queues.leave(request);
     }
 
+    /// Returns the versions of a request's model with the time until nothing
+    /// older may start.
+    fn version_bounds(
+        &self,
+        now_ms: u64,
+        model: Option<&str>,
+    ) -> Vec<VersionBound> {
+        let bounds = model.map(|model| self.versions.bounds(now_ms, model));
+        bounds.unwrap_or_default()
+    }
+
     fn budget(&mut self, service: &Name) -> &mut RetryBudget {
         let bound = self.config.retries;
         self.budgets
--- a/crates/raildale-core/src/gateway/mod.rs
+++ b/crates/raildale-core/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 //! * [`notices`]: limits and notices that targets send in response headers.
 //! * [`outcomes`]: handling of the outcome of an attempt.
 //! * [`versions`]: named versions of weights and the bounds they set.
+//! * [`served`]: the version that a target serves, and the bound on it.
 //! * [`waiting`]: queues of requests that wait for a target.
 //! * [`quarantine`]: detection of requests that crash their targets.
 //! * [`retry_budget`]: the bound on repeats that this process may send.
@@ -42,6 +43,7 @@
 pub mod request;
 pub mod retry_budget;
 pub mod routes;
+pub mod served;
 pub mod shares;
 pub mod target;
 pub mod target_end;
--- a/crates/raildale-core/src/gateway/outcomes.rs
+++ b/crates/raildale-core/src/gateway/outcomes.rs
@@ -8,10 +8,6 @@
 };
 use crate::Code;
 
-/// A request that has not begun at a target with an older version is withdrawn
-/// this many milliseconds before that version's bound.
-const WITHDRAW_MARGIN_MS: u64 = 700;
-
 /// Silence, in milliseconds, after which the request is moved from a target
 /// whose agent is silent too or reports it down.
 const SILENCE_TIMEOUT_MS: u64 = 250;
@@ -146,24 +142,6 @@
         self.record_attempt_ended(fingerprints);
     }
 
-    /// Returns whether a request that has not begun at a target must be
-    /// withdrawn because the version there is about to become too old to start
-    /// work.
-    pub fn is_too_old(
-        &self,
-        now_ms: u64,
-        request: &Admission,
-        target: &str,
-    ) -> bool {
-        let Some(model) = &request.model else { return false };
-        let min_version = self.min_version(now_ms, model, WITHDRAW_MARGIN_MS);
-        let serves = self
-            .targets
-            .get(target)
-            .and_then(|known| known.serves_version(now_ms));
-        serves.is_some_and(|version| version < min_version)
-    }
-
     /// Returns why a request should be moved to another target after this one
     /// has been silent about it for `silent_ms`; `None` if it should stay.
     pub fn silence(
--- a/crates/raildale-core/src/gateway/targets/mod.rs
+++ b/crates/raildale-core/src/gateway/targets/mod.rs
@@ -21,6 +21,7 @@
     shares::{Parts, Shares},
     target::{Outcome, Target, TargetReport, TargetSpec},
     target_end::{EndSign, StartId, TargetEnd},
+    versions::VersionBound,
 };
 use crate::{Name, catalog::Stamp};
 
@@ -84,15 +85,6 @@
     pub residency: Residency<'a>,
 }
 
-/// A version, and the time left until nothing older may start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct VersionBound {
-    /// The version.
-    pub version: u64,
-    /// Milliseconds until then; 0 once that time has passed.
-    pub left_ms: u64,
-}
-
 /// How long before a version's bound nothing is sent to an older version any
 /// more, in milliseconds. On a congested link, requests began up to 2.2 s
 /// after they were sent.
--- a/crates/raildale-core/tests/gateway.rs
+++ b/crates/raildale-core/tests/gateway.rs
@@ -208,7 +208,9 @@
     let mut gateway = gateway();
     gateway.targets.put(target("t", "model", 1, Some(1)));
     let named_ms = START_MS - age_ms;
-    gateway.record_version("m".into(), NamedVersion { version: 2, named_ms });
+    gateway
+        .versions
+        .record_heard(&"m".into(), NamedVersion { version: 2, named_ms });
     let address = SocketAddr::from(([10, 0, 0, 1], 80));
     let report = TargetReport { round_trip_ms, ..report(1) };
     gateway.targets.record_report(START_MS, address, report);
@@ -222,7 +224,7 @@
     let mut gateway = gateway();
     gateway.targets.put(target("t", "model", 1, Some(1)));
     let version = NamedVersion { version: 2, named_ms: START_MS };
-    gateway.record_version("m".into(), version);
+    gateway.versions.record_heard(&"m".into(), version);
     let request = admit(&mut gateway, "/deep/");
     let late_ms = START_MS + VERSION_MS - 600;
     assert!(!gateway.is_too_old(START_MS + 1_000, &request, "t"));
@@ -252,7 +254,7 @@
     for (version, age_ms) in reported {
         let named_ms = START_MS - age_ms;
         let named = NamedVersion { version: *version, named_ms };
-        gateway.record_version("m".into(), named);
+        gateway.versions.record_heard(&"m".into(), named);
     }
     let request = admit(&mut gateway, "/deep/");
     let bound_ms = START_MS - 5_000 + VERSION_MS;
@@ -260,38 +262,6 @@
     assert!(gateway.is_too_old(bound_ms - 600, &request, "t"));
 }
 
-#[parameterized(
-    nothing_heard = { &[], 0 },
-    heard_long_ago = { &[7_000], 7_000 },
-    heard_by_others_since = { &[7_000, 3_000, 5_000], 3_000 },
-)]
-fn a_new_version_may_be_as_old_as_the_last_report(
-    heard_ages_ms: &[u64],
-    age_ms: u64,
-) {
-    let mut gateway = gateway();
-    for heard_age_ms in heard_ages_ms {
-        gateway.record_versions_heard(START_MS - heard_age_ms);
-    }
-    assert_eq!(gateway.earliest_naming_ms(START_MS), START_MS - age_ms);
-}
-
-#[test]
-fn versions_that_bound_nothing_are_left_out() {
-    let mut gateway = gateway();
-    for (version, age_ms) in [(1, 60_000), (2, VERSION_MS), (3, 1_000)] {
-        let named_ms = START_MS - age_ms;
-        let named = NamedVersion { version, named_ms };
-        gateway.record_version("m".into(), named);
-    }
-    let reported: Vec<u64> = gateway
-        .bounding_versions(START_MS)
-        .into_iter()
-        .map(|(_, named)| named.version)
-        .collect();
-    assert_eq!(reported, [2, 3]);
-}
-
 #[parameterized(
     draining = { true, true },
     about_to_swap = { false, false },
@@ -759,7 +729,9 @@
     let mut gateway = gateway();
     gateway.targets.put(target("t", "model", 1, Some(1)));
     let named_ms = START_MS - 1_000;
-    gateway.record_version("m".into(), NamedVersion { version: 2, named_ms });
+    gateway
+        .versions
+        .record_heard(&"m".into(), NamedVersion { version: 2, named_ms });
     let address = SocketAddr::from(([10, 0, 0, 1], 80));
     let slow = TargetReport { round_trip_ms: 600, ..report(1) };
     gateway.targets.record_report(START_MS - 300, address, slow);
@@ -1209,35 +1181,3 @@
         assert_eq!(request.rank, Rank::default(), "{path} {key}");
     }
 }
-
-/// Of a version that no running entry host has heard of, the bound counts as
-/// over unless a record tells its age; what an entry host tells replaces both,
-/// and only that is told on.
-#[test]
-fn a_naming_is_dated_by_the_best_that_is_known() {
-    let mut gateway = gateway();
-    let model = Name::from("m");
-    let told_age_ms = |gateway: &Gateway| {
-        let named = gateway.versions().find(|(name, _)| **name == model);
-        let (_, named) = named.expect("the model is known");
-        gateway.told_age_ms(START_MS, &model, named[0])
-    };
-    gateway.record_unheard_version(START_MS, &model, 2, None);
-    assert_eq!(gateway.min_version(START_MS, "m", 0), 2);
-    assert_eq!(told_age_ms(&gateway), 0, "agents are not hurried");
-    let recorded_age = Some(VERSION_MS - 3_000);
-    gateway.record_unheard_version(START_MS, &model, 2, recorded_age);
-    assert_eq!(gateway.min_version(START_MS, "m", 0), 0);
-    assert_eq!(gateway.min_version(START_MS, "m", 1_000), 2);
-    assert_eq!(told_age_ms(&gateway), VERSION_MS - 3_000);
-    gateway.record_unheard_version(START_MS, &model, 2, None);
-    assert_eq!(gateway.min_version(START_MS, "m", 0), 0);
-    assert_eq!(gateway.bounding_versions(START_MS), []);
-    let named = NamedVersion { version: 2, named_ms: START_MS - 1_000 };
-    gateway.record_version(model.clone(), named);
-    assert_eq!(gateway.min_version(START_MS, "m", VERSION_MS - 1_001), 0);
-    assert_eq!(gateway.min_version(START_MS, "m", VERSION_MS - 1_000), 2);
-    assert_eq!(gateway.bounding_versions(START_MS), [(model.clone(), named)]);
-    gateway.record_unheard_version(START_MS, &model, 2, recorded_age);
-    assert_eq!(gateway.min_version(START_MS, "m", VERSION_MS - 1_001), 0);
-}
--- a/crates/raildale/src/fleet/entry/attempt.rs
+++ b/crates/raildale/src/fleet/entry/attempt.rs
@@ -13,7 +13,7 @@
     Name,
     gateway::{
         Admission, EventSplitter, Fingerprints, Outcome, outcomes::Silence,
-        target_end::StartId, versions::ServedVersion,
+        served::ServedVersion, target_end::StartId,
     },
 };
 
--- a/crates/raildale/src/fleet/entry/briefings.rs
+++ b/crates/raildale/src/fleet/entry/briefings.rs
@@ -5,7 +5,7 @@
 use raildale_core::{
     Name,
     fleet_message::{AgentEntry, Briefing, BriefingRequest, Note, VersionAge},
-    gateway::{Routing, Service},
+    gateway::{Routing, Service, versions::AgedVersion},
     members::relays::ListTurn,
 };
 
@@ -315,13 +315,9 @@
     let now = now_ms();
     let models = service.engine.as_ref().map_or(&[][..], |e| &e.models);
     let gateway = host.gateway.borrow();
-    gateway
-        .versions()
-        .filter(|(model, _)| models.contains(model))
-        .flat_map(|(model, versions)| versions.iter().map(move |v| (model, v)))
-        .map(|(model, named)| VersionAge {
-            version: named.version,
-            age_ms: gateway.told_age_ms(now, model, *named),
-        })
+    let named = |model: &Name| gateway.versions.for_agents(now, model);
+    let versions = models.iter().flat_map(named);
+    versions
+        .map(|AgedVersion { version, age_ms }| VersionAge { version, age_ms })
         .collect()
 }
--- a/crates/raildale/src/fleet/entry/host/changes.rs
+++ b/crates/raildale/src/fleet/entry/host/changes.rs
@@ -6,20 +6,19 @@
 use raildale_core::{
     LogEvent, Name,
     catalog::{Change, Extent, Kind, Snapshot, Stamp, StoredObject},
-    fleet_message::ModelVersionAge,
     gateway::{
         Target,
         lapse::{Lapse, RELIST_TIMEOUT_MS, StoreView},
         target_end::StartId,
-        versions::{NamedVersion, NamingBasis, VersionChange},
+        versions::{DateChange, ListedVersion, Sighting, told::ToldVersions},
     },
 };
 
-use super::EntryHost;
+use super::{EntryHost, naming_records::recorded_ages};
 use crate::{
     error::Error,
     fleet::{
-        edge::{Dialect, NamedWeights, Store},
+        edge::{Dialect, Store},
         steady_clock::now_ms,
     },
 };
@@ -132,25 +131,12 @@
         );
     }
 
-    /// Handles the versions in the heartbeat of the entry host at `ip`.
-    /// `heard_age_ms` says how long ago it last learned from the store which
-    /// versions are named.
-    pub fn handle_peer_versions(
-        &self,
-        ip: IpAddr,
-        versions: Vec<ModelVersionAge>,
-        heard_age_ms: Option<u64>,
-    ) {
-        let now = now_ms();
-        for ModelVersionAge { model, version, age_ms } in versions {
-            let named_ms = now.saturating_sub(age_ms);
-            let named = NamedVersion { version, named_ms };
-            let from = format!("from={ip}");
-            self.record_version(Name::from(model), named, &from);
-        }
-        if let Some(age_ms) = heard_age_ms {
-            let heard_ms = now.saturating_sub(age_ms);
-            self.gateway.borrow_mut().record_versions_heard(heard_ms);
+    /// Merges what the entry host at `ip` tells of the named versions.
+    pub fn merge_told_versions(&self, ip: IpAddr, told: ToldVersions) {
+        let changes = self.gateway.borrow_mut().versions.merge(told);
+        let source_text = format!("from={ip}");
+        for change in changes {
+            self.record_date_change(&change, &source_text);
         }
     }
 
@@ -402,77 +388,47 @@
             return;
         };
         let source_text = format!("revision={} from={from}", object.stamp);
-        self.apply_naming_records(&named, &source_text);
-        let is_known =
-            self.gateway.borrow().knows_version(&named.model, named.version);
-        // The object does not contain the time of naming: whoever reported the
-        // version first knows it better.
-        if is_known {
-            return;
-        }
-        let now = now_ms();
-        let gateway = self.gateway.borrow();
-        let is_any_heard = gateway.versions_heard_ms().is_some();
-        let earliest_ms = gateway.earliest_naming_ms(now);
-        drop(gateway);
-        let (named_ms, dated_by) = match (source, is_any_heard) {
-            (ChangeSource::Store { is_continuous: true }, _) => (now, "watch"),
-            (ChangeSource::Store { .. }, true) => (earliest_ms, "last answer"),
-            // Another entry host's heartbeats tell the age, if it knows it.
-            (ChangeSource::Store { .. }, false)
-            | (ChangeSource::EntryHost { .. }, _) => {
-                let NamedWeights { model, version, .. } = named;
-                self.record_unheard(&model, version, None, &source_text);
-                return;
-            }
+        let sighting = match source {
+            ChangeSource::Store { is_continuous: true } => Sighting::Watched,
+            ChangeSource::Store { is_continuous: false }
+            | ChangeSource::EntryHost { .. } => Sighting::Found,
+        };
+        let recorded = recorded_ages(&named);
+        let listed = ListedVersion {
+            model: &named.model,
+            version: named.version,
+            recorded: &recorded,
         };
-        let version = NamedVersion { version: named.version, named_ms };
-        let source_text = format!("{source_text} dated_by={dated_by}");
-        self.record_version(named.model, version, &source_text);
+        let mut gateway = self.gateway.borrow_mut();
+        let change =
+            gateway.versions.record_listed(now_ms(), listed, sighting);
+        drop(gateway);
+        if let Some(change) = change {
+            let source_text = format!("{source_text} by={sighting:?}");
+            self.record_date_change(&change, &source_text);
+        }
     }
 
-    /// Records a version, and logs what is new about it.
-    fn record_version(
-        &self,
-        model: Name,
-        named: NamedVersion,
-        source_text: &str,
-    ) {
-        let mut gateway = self.gateway.borrow_mut();
-        let change = gateway.record_version(model.clone(), named);
-        let is_logged = match change {
-            VersionChange::New => true,
-            VersionChange::Earlier(ms) => ms >= MIN_LOGGED_CORRECTION_MS,
-            VersionChange::Known => false,
-        };
-        if change == VersionChange::New {
-            // Agents learn of it at once.
+    /// Makes agents learn of a version whose date became known, and logs it.
+    /// `source_text` says from where it became known.
+    fn record_date_change(&self, change: &DateChange, source_text: &str) {
+        if change.corrected_ms.is_none() {
             self.briefing_due.notify_one();
         }
-        if is_logged {
-            let age_ms = now_ms().saturating_sub(named.named_ms);
-            let age_text = format!("age_ms={age_ms}");
-            let basis = NamingBasis::Heard;
-            let (model, version) = (&model, named.version);
-            self.log_naming(model, version, basis, &age_text, source_text);
+        if change.corrected_ms.is_some_and(|ms| ms < MIN_LOGGED_CORRECTION_MS)
+        {
+            return;
         }
-    }
-
-    /// Logs when a version was named as far as is known, on what basis, and
-    /// from where that is known.
-    pub(super) fn log_naming(
-        &self,
-        model: &str,
-        version: u64,
-        basis: NamingBasis,
-        age_text: &str,
-        source_text: &str,
-    ) {
-        let basis = basis.label();
+        let basis = change.basis.label();
         let label = format!("basis=\"{basis}\"");
         self.metrics.add("versions_dated_total", &label, 1);
+        let age_text = match change.named_ms {
+            Some(named_ms) => now_ms().saturating_sub(named_ms).to_string(),
+            None => "unknown".to_string(),
+        };
+        let DateChange { model, version, .. } = change;
         let detail = format!(
-            "model={model} version={version} basis={basis} {age_text} \
+            "model={model} version={version} basis={basis} age_ms={age_text} \
              {source_text}"
         );
         self.log(LogEvent::VersionNamed, &detail);
--- a/crates/raildale/src/fleet/entry/host/naming_records.rs
+++ b/crates/raildale/src/fleet/entry/host/naming_records.rs
@@ -6,11 +6,7 @@
 
 use std::rc::Rc;
 
-use raildale_core::{
-    Name,
-    catalog::Kind,
-    gateway::versions::{NamingBasis, VersionChange},
-};
+use raildale_core::{Name, catalog::Kind, gateway::versions::AgedVersion};
 
 use super::{EntryHost, unix_ms};
 use crate::fleet::{
@@ -30,49 +26,6 @@
 const MAX_RECORDS: usize = 8;
 
 impl<P: Dialect + Store + 'static> EntryHost<P> {
-    /// Takes over the recorded namings of a model, where no running entry host
-    /// has told better. `source_text` says where they are from, for the log.
-    pub(super) fn apply_naming_records(
-        &self,
-        named: &NamedWeights,
-        source_text: &str,
-    ) {
-        let unix_ms = unix_ms();
-        for record in &named.records {
-            let age_ms = unix_ms.saturating_sub(record.unix_ms);
-            let (model, version) = (&named.model, record.version);
-            self.record_unheard(model, version, Some(age_ms), source_text);
-        }
-    }
-
-    /// Records a version of which no running entry host has told when it was
-    /// named. `source_text` says where it is from, for the log.
-    pub(super) fn record_unheard(
-        &self,
-        model: &Name,
-        version: u64,
-        recorded_age_ms: Option<u64>,
-        source_text: &str,
-    ) {
-        let mut gateway = self.gateway.borrow_mut();
-        let change = gateway.record_unheard_version(
-            now_ms(),
-            model,
-            version,
-            recorded_age_ms,
-        );
-        drop(gateway);
-        if change == VersionChange::Known {
-            return;
-        }
-        self.briefing_due.notify_one();
-        let (basis, age_text) = match recorded_age_ms {
-            Some(ms) => (NamingBasis::Recorded, format!("age_ms={ms}")),
-            None => (NamingBasis::Assumed, "age_ms=unknown".to_string()),
-        };
-        self.log_naming(model, version, basis, &age_text, source_text);
-    }
-
     /// Writes the namings that the store lacks, if this entry host watches the
     /// store.
     pub fn reconcile_naming_records(self: &Rc<Self>) {
@@ -103,12 +56,7 @@
     ) -> Option<Vec<NamingRecord>> {
         let gateway = self.gateway.borrow();
         let (now, unix_now) = (now_ms(), unix_ms());
-        let all = gateway.versions().find(|(name, _)| **name == named.model);
-        let heard = all.into_iter().flat_map(|(_, versions)| versions);
-        let heard = heard.filter(|known| {
-            let basis = gateway.naming_basis(&named.model, known.version);
-            basis == Some(NamingBasis::Heard)
-        });
+        let heard = gateway.versions.heard(&named.model).into_iter();
         let is_stored = |version: u64| {
             named.records.iter().any(|record| record.version == version)
         };
@@ -162,3 +110,15 @@
         }
     }
 }
+
+/// Returns the ages of the recorded namings by the time of day.
+pub(super) fn recorded_ages(named: &NamedWeights) -> Vec<AgedVersion> {
+    let unix_ms = unix_ms();
+    let records = named.records.iter();
+    records
+        .map(|record| AgedVersion {
+            version: record.version,
+            age_ms: unix_ms.saturating_sub(record.unix_ms),
+        })
+        .collect()
+}
--- a/crates/raildale/src/fleet/entry/peers.rs
+++ b/crates/raildale/src/fleet/entry/peers.rs
@@ -11,7 +11,7 @@
 use raildale_core::{
     LogEvent, Name,
     catalog::{Extent, Kind},
-    fleet_message::{Hello, ModelVersionAge, Note, Report},
+    fleet_message::{Hello, Note, Report},
     gateway::shares::Shares,
     members::{HEARTBEAT_INTERVAL_MS, Heartbeat, MemberEntry},
 };
@@ -112,6 +112,7 @@
     P: Dialect + Store + 'static,
 {
     let extents = hello.extents();
+    let told = hello.told_versions(now_ms());
     let entry = MemberEntry {
         name: Name::from(hello.name),
         ip,
@@ -126,8 +127,7 @@
         demand_per_s: f64::from(hello.demand_per_s),
         is_concentrating: hello.is_concentrating,
     };
-    let heard_age_ms = hello.versions_heard_age_ms;
-    host.handle_peer_versions(ip, hello.versions, heard_age_ms);
+    host.merge_told_versions(ip, told);
     host.handle_peer_suspects(hello.suspects);
     host.handle_peer_notices(ip, hello.notices);
     host.members.borrow_mut().on_heartbeat(now_ms(), entry, heartbeat)
@@ -301,7 +301,7 @@
     P: Dialect + Store + 'static,
 {
     let now = now_ms();
-    let versions_heard_ms = host.gateway.borrow().versions_heard_ms();
+    let told = host.gateway.borrow().versions.told(now);
     let kinds = host.kinds().iter();
     let extents: Vec<Extent> =
         kinds.map(|kind| host.store_mirror.extent(*kind)).collect();
@@ -311,33 +311,13 @@
         is_leaving: host.is_leaving(),
         is_ready: host.is_ready(),
         sees_store: host.sees_store(),
-        versions: announced_versions(host),
-        versions_heard_age_ms: versions_heard_ms
-            .map(|heard_ms| now.saturating_sub(heard_ms)),
         demand_per_s: host.gateway.borrow().demand_per_s(now) as f32,
         suspects: host.gateway.borrow().quarantine.outgoing(now),
         notices: host.gateway.borrow().targets.notices.outgoing(now),
         is_concentrating: host.members.borrow().is_concentrating(),
         ..Hello::default()
     };
-    hello.with_extents(&extents)
-}
-
-/// Returns the versions that a heartbeat announces.
-fn announced_versions<P>(host: &EntryHost<P>) -> Vec<ModelVersionAge>
-where
-    P: Dialect + Store + 'static,
-{
-    let now = now_ms();
-    let bounding = host.gateway.borrow().bounding_versions(now);
-    bounding
-        .into_iter()
-        .map(|(model, named)| ModelVersionAge {
-            model: model.to_string(),
-            version: named.version,
-            age_ms: now.saturating_sub(named.named_ms),
-        })
-        .collect()
+    hello.with_extents(&extents).with_told_versions(now, told)
 }
 
 /// Fetches from other entry hosts the kinds of which they know more than this
--- a/crates/raildale/src/fleet/entry/store_watch.rs
+++ b/crates/raildale/src/fleet/entry/store_watch.rs
@@ -115,7 +115,8 @@
                 must_list = false;
                 host.record_store_state(true, "");
                 if kind == Kind::Versions {
-                    host.gateway.borrow_mut().record_versions_heard(now_ms());
+                    let mut gateway = host.gateway.borrow_mut();
+                    gateway.versions.record_complete(now_ms());
                 }
             }
             Err(StoreFailure::HistoryGone) => {
@@ -186,7 +187,7 @@
     let is_away =
         failure != StoreFailure::Busy && shows_outage(failure, failures);
     if is_away {
-        host.gateway.borrow_mut().record_versions_heard(started_ms);
+        host.gateway.borrow_mut().versions.record_complete(started_ms);
     }
 }
 
