Let an absent store date nothing for those who knew nothing before

Cause: a failed watch of the versions moved the time until which an entry host claims to know all namings, also at one that knew none, and it told that time to the others.

Why it works: the time until which the store was away is kept apart, counts only for who knew all namings before, and is not told.

--- a/crates/raildale-core/src/gateway/versions/mod.rs
+++ b/crates/raildale-core/src/gateway/versions/mod.rs
@@ -118,6 +118,9 @@
     /// The time until which every naming is known; `None` while any may be
     /// missing.
     complete_until_ms: Option<u64>,
+    /// The time until which the store has certainly named nothing since, as it
+    /// was away.
+    away_until_ms: u64,
     by_model: BTreeMap<Name, ModelVersions>,
 }
 
@@ -129,6 +132,7 @@
         NamedVersions {
             bound_ms,
             complete_until_ms: None,
+            away_until_ms: 0,
             by_model: BTreeMap::new(),
         }
     }
@@ -141,6 +145,7 @@
         sighting: Sighting,
     ) -> Option<DateChange> {
         let ListedVersion { model, version, recorded } = listed;
+        let known_until_ms = self.known_until_ms();
         let known = self.by_model.entry(model.clone()).or_default();
         known.record_newest(version);
         let before = known.basis(version);
@@ -154,7 +159,7 @@
             let named_ms = now_ms.saturating_sub(age_ms);
             known.insert(record.version, named_ms, NamingBasis::Recorded);
         }
-        match self.complete_until_ms {
+        match known_until_ms {
             Some(known_ms) if known.basis(version).is_none() => {
                 known.insert(version, known_ms, NamingBasis::Heard);
             }
@@ -177,6 +182,22 @@
         self.complete_until_ms = self.complete_until_ms.max(Some(until_ms));
     }
 
+    /// Records that the store was away until a time, so that it named nothing
+    /// that this entry host does not know. Says nothing of what was named
+    /// before this entry host knew all namings, and is not told to others.
+    pub fn record_away(&mut self, until_ms: u64) {
+        if self.complete_until_ms.is_some() {
+            self.away_until_ms = self.away_until_ms.max(until_ms);
+        }
+    }
+
+    /// Returns the time until which every naming is known, by what the store
+    /// said or by its absence; `None` while any may be missing.
+    fn known_until_ms(&self) -> Option<u64> {
+        let complete_ms = self.complete_until_ms?;
+        Some(complete_ms.max(self.away_until_ms))
+    }
+
     /// Returns the time until which every naming is known; `None` while any
     /// may be missing.
     pub fn complete_until_ms(&self) -> Option<u64> {
--- a/crates/raildale-core/src/gateway/versions/told.rs
+++ b/crates/raildale-core/src/gateway/versions/told.rs
@@ -109,12 +109,13 @@
     /// named after all that this entry host knew.
     fn merge_unheard(&mut self, told: &ToldVersions) -> Vec<DateChange> {
         let mut changes = Vec::new();
+        let known_until_ms = self.known_until_ms();
         for (model, version) in &told.unheard {
             let known = self.by_model.entry(model.clone()).or_default();
             if known.basis(*version).is_some() {
                 continue;
             }
-            match self.complete_until_ms {
+            match known_until_ms {
                 Some(known_ms) if *version > known.newest() => {
                     known.insert(*version, known_ms, NamingBasis::Heard);
                 }
--- a/crates/raildale-core/tests/named_versions.rs
+++ b/crates/raildale-core/tests/named_versions.rs
@@ -178,6 +178,25 @@
     assert_eq!(left_ms(&started, 1), Some(BOUND_MS - 5_000));
 }
 
+// Guards against work on an older version after its bound: the store is away as
+// an entry host starts, and a version named before that is found at its return.
+#[test]
+fn an_absence_dates_nothing_that_was_named_before_it() {
+    let mut versions = versions();
+    versions.record_away(NOW_MS - 1_000);
+    find(&mut versions, 2, &[]);
+    assert_eq!(left_ms(&versions, 1), Some(0));
+}
+
+#[test]
+fn an_absence_of_the_store_dates_what_is_named_at_its_return() {
+    let mut versions = versions_heard(&[]);
+    versions.record_away(NOW_MS + 6_000);
+    assert_eq!(versions.told(NOW_MS).complete_until_ms, Some(NOW_MS));
+    find(&mut versions, 2, &[]);
+    assert_eq!(left_ms(&versions, 1), Some(BOUND_MS + 6_000));
+}
+
 // Guards against work on a version whose successor is not listed any more: the
 // list holds the newest version alone, and the one in between may have been
 // named long before.
--- a/crates/raildale/src/fleet/entry/store_watch.rs
+++ b/crates/raildale/src/fleet/entry/store_watch.rs
@@ -187,7 +187,7 @@
     let is_away =
         failure != StoreFailure::Busy && shows_outage(failure, failures);
     if is_away {
-        host.gateway.borrow_mut().versions.record_complete(started_ms);
+        host.gateway.borrow_mut().versions.record_away(started_ms);
     }
 }
 
