Take the store for away only if no entry host may be served

Cause: each failed watch of the versions counted as proof that the store named nothing until then, whoever else it served.

Why it works: a failure counts only while all listed entry hosts are heard, and only for the time before which an answer to any of them would be known here. What stays: all entry hosts that hear one another turned away, and the operator served, looks like an outage.

--- a/crates/raildale-core/src/gateway/versions/mod.rs
+++ b/crates/raildale-core/src/gateway/versions/mod.rs
@@ -109,6 +109,11 @@
 /// milliseconds: the time of day may step by this much.
 const RECORD_ERROR_MS: u64 = 2_000;
 
+/// How long it takes until all entry hosts know that the store has answered
+/// one of them, in milliseconds: a watch of the versions, a heartbeat, and two
+/// digests between data centres.
+const ANSWER_SPREAD_MS: u64 = 3_000;
+
 /// The named versions of all models, as one entry host knows them.
 #[derive(Debug)]
 pub struct NamedVersions {
@@ -182,11 +187,14 @@
         self.complete_until_ms = self.complete_until_ms.max(Some(until_ms));
     }
 
-    /// Records that the store was away until a time, so that it named nothing
-    /// that this entry host does not know. Says nothing of what was named
-    /// before this entry host knew all namings, and is not told to others.
-    pub fn record_away(&mut self, until_ms: u64) {
+    /// Records that the store did not answer this entry host at a time at
+    /// which all others were heard. It was away unless it answered one of them,
+    /// which is known [`ANSWER_SPREAD_MS`] later. Says nothing of what was
+    /// named before this entry host knew all namings, and is not told to
+    /// others.
+    pub fn record_away(&mut self, at_ms: u64) {
         if self.complete_until_ms.is_some() {
+            let until_ms = at_ms.saturating_sub(ANSWER_SPREAD_MS);
             self.away_until_ms = self.away_until_ms.max(until_ms);
         }
     }
--- a/crates/raildale-core/src/members/mod.rs
+++ b/crates/raildale-core/src/members/mod.rs
@@ -240,6 +240,11 @@
         self.others.keys().copied()
     }
 
+    /// Returns whether all others are heard.
+    pub fn are_all_heard(&self, now_ms: u64) -> bool {
+        self.others.values().all(|member| is_heard(member, now_ms))
+    }
+
     /// Returns the others that have been silent for longer than `ms`.
     pub fn silent_for(&self, now_ms: u64, ms: u64) -> Vec<MemberEntry> {
         self.others
--- a/crates/raildale/src/fleet/entry/store_watch.rs
+++ b/crates/raildale/src/fleet/entry/store_watch.rs
@@ -169,11 +169,11 @@
 /// is the last of `failures` consecutive ones.
 ///
 /// An unavailable store accepts no new version either, so versions found at
-/// its return are dated by the last failure and not by the last answer. Dated
-/// by the last answer, a version named at the end of 8 s without the store
-/// left 13% of that half minute's requests unserved; dated by the last
-/// failure, none. A first failure of the connection shows nothing about the
-/// store.
+/// its return are not as old as the last answer. Dated by the last answer, a
+/// version named at the end of 8 s without the store left 13% of that half
+/// minute's requests unserved. The store may turn some machines away and serve
+/// others and the operator, so this holds only while all entry hosts are heard.
+/// A first failure of the connection shows nothing about the store.
 fn on_versions_watch_failed<P>(
     host: &EntryHost<P>,
     failure: StoreFailure,
@@ -186,7 +186,7 @@
     // A store that is too busy for this call may accept a version.
     let is_away =
         failure != StoreFailure::Busy && shows_outage(failure, failures);
-    if is_away {
+    if is_away && host.members.borrow().are_all_heard(now_ms()) {
         host.gateway.borrow_mut().versions.record_away(started_ms);
     }
 }
