Date versions by when a call of the store began

What callers saw: nothing yet; dates of versions were late by the time that an answer of the store took, up to the time-out of a call.

Cause: an answer counted as true when it arrived. A version that was named after the store had made a slow list was dated by the arrival of the next answer, and the list claimed to know all namings until its own arrival.

Why it works: an answer says what was true when its call began. Only a watch that follows a prompt one delivers what happens, and none right after a pause of the process. An event that reaches all watchers late is still dated late.

--- a/crates/raildale/src/fleet/entry/store_watch.rs
+++ b/crates/raildale/src/fleet/entry/store_watch.rs
@@ -47,6 +47,11 @@
 /// should.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The maximum time that an answer of the store takes beyond the wait of the
+/// call for the next one to continue it, in milliseconds: several times the
+/// longest between data centres.
+const MAX_PROMPT_DELAY_MS: u64 = 100;
+
 /// The minimum pause after a failed call.
 const MIN_BACKOFF_MS: u64 = 150;
 
@@ -107,7 +112,12 @@
                 next_changes(&host, kind, wait_ms, is_continuous).await
             }
         };
-        is_continuous = result.is_ok();
+        // A slow answer is old: what it lacks may have happened long before
+        // the next call.
+        let elapsed_ms = now_ms().saturating_sub(started_ms);
+        let is_prompt =
+            elapsed_ms <= wait_ms(kind, failures) + MAX_PROMPT_DELAY_MS;
+        is_continuous = result.is_ok() && !must_list && is_prompt;
         match result {
             Ok(()) => {
                 failures = 0;
@@ -116,7 +126,7 @@
                 host.record_store_state(true, "");
                 if kind == Kind::Versions {
                     let mut gateway = host.gateway.borrow_mut();
-                    gateway.versions.record_complete(now_ms());
+                    gateway.versions.record_complete(started_ms);
                 }
             }
             Err(StoreFailure::HistoryGone) => {
@@ -229,6 +239,8 @@
         return Err(StoreFailure::HistoryGone);
     }
     let has_changes = !answer.changes.is_empty();
+    // The answer may have arrived during a pause of this process.
+    let is_continuous = is_continuous && !host.pauses.is_recent(now_ms());
     host.apply(kind, answer.stamp, answer.changes, is_continuous);
     if has_changes && matches!(kind, Kind::Targets | Kind::EntryHosts) {
         let is_large = host.members.borrow().is_large();
