Take no age from a heartbeat that may have waited for a pause to end

What callers saw: streams on an older version after its bound, at an entry host that had been stopped and heard nobody afterwards.

Cause: ages in heartbeats counted from their arrival. Those that waited in the socket while the process or its machine stood still told of a version that was just named, and of a store that had just answered.

Why it works: right after a pause a heartbeat says only which versions there are, and what is new was named after all that was known before the pause.

--- a/crates/raildale/src/fleet/entry/host/changes.rs
+++ b/crates/raildale/src/fleet/entry/host/changes.rs
@@ -133,6 +133,11 @@
 
     /// Merges what the entry host at `ip` tells of the named versions.
     pub fn merge_told_versions(&self, ip: IpAddr, told: ToldVersions) {
+        // It may have waited since the start of a pause of this process.
+        let told = match self.pauses.is_recent(now_ms()) {
+            true => told.without_times(),
+            false => told,
+        };
         let changes = self.gateway.borrow_mut().versions.merge(told);
         let source_text = format!("from={ip}");
         for change in changes {
