Send nothing to targets with weights before the versions are read

What callers saw: streams on an older version, from an entry host that has started and can't read the named versions, for as long as that lasts, and in the first moments of any start.

Cause: an entry host serves once it knows the configuration and the targets. Versions that it had not read yet counted as none.

Opposite cases hold: a model without versions is served, and what another entry host knows counts.

Why it works: the named versions have a first state of their own, in which any version may have been named. A request is held in it as long as a starting entry host may hold one, and is then refused as not run, with obstacle Versions and a time to come back. Services without weights are served.

--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -12,7 +12,7 @@
         Obstacle, QueueKind, Refusal, RequestHead, refusal,
     },
     retry_budget::{RetryBound, RetryBudget},
-    routes::{NoRoute, Routing},
+    routes::{NoRoute, Routing, Service},
     shares::{Sender, Shares},
     target::Target,
     target_end::TargetEnd,
@@ -273,6 +273,10 @@
         if let Some(next) = self.check_quarantine(now_ms, request, since_ms) {
             return next;
         }
+        if self.awaits_versions(&request.service) {
+            let refusal = self.give_up(request, Code::NoTarget);
+            return Next::Refuse(refusal.with_obstacle(Obstacle::Versions));
+        }
         self.targets.update_own_slots(now_ms, &request.service);
         let model = request.model.as_deref();
         let bounds = self.version_bounds(now_ms, model);
@@ -479,6 +483,15 @@
         self.wait_queues.leave(request);
     }
 
+    /// Returns whether nothing may be sent to a service's targets because it is
+    /// not known yet which versions of weights there are.
+    pub fn awaits_versions(&self, service: &Service) -> bool {
+        let engine = service.engine.as_ref();
+        let needs_weights = engine.is_some_and(|e| e.layer_count > 0);
+        let has_bound = self.config.version_ms > 0;
+        needs_weights && has_bound && !self.versions.is_read()
+    }
+
     /// Returns the versions of a request's model with the time until nothing
     /// older may start.
     fn version_bounds(
--- a/crates/raildale-core/src/gateway/request.rs
+++ b/crates/raildale-core/src/gateway/request.rs
@@ -171,6 +171,8 @@
     Budget,
     /// No target takes it.
     Targets,
+    /// It is not known which versions of weights may start work.
+    Versions,
     /// No target is in a region in which it may be served.
     Region,
     /// All targets that it may use are in evacuated data centres.
--- a/crates/raildale-core/src/gateway/versions/mod.rs
+++ b/crates/raildale-core/src/gateway/versions/mod.rs
@@ -4,7 +4,8 @@
 //! A version's bound runs from its naming, so its date must not be later than
 //! the naming. An entry host dates a version by what it knew before: all
 //! namings until some time, or nothing. What nobody can date counts as named
-//! long ago.
+//! long ago. Until the versions are read, any may have been named, and nothing
+//! may start.
 //!
 //! * [`model`]: the versions of one model.
 //! * [`told`]: what entry hosts tell each other.
@@ -109,6 +110,9 @@
 /// milliseconds: the time of day may step by this much.
 const RECORD_ERROR_MS: u64 = 2_000;
 
+/// Stands for any version that may have been named: newer than all others.
+pub const ANY_VERSION: u64 = u64::MAX;
+
 /// How long it takes until all entry hosts know that the store has answered
 /// one of them, in milliseconds: a watch of the versions, a heartbeat, and two
 /// digests between data centres.
@@ -120,6 +124,8 @@
     /// How long after a naming older versions may start work, in
     /// milliseconds; 0 if there is no bound.
     bound_ms: u64,
+    /// Whether it is known which versions there are.
+    is_read: bool,
     /// The time until which every naming is known; `None` while any may be
     /// missing.
     complete_until_ms: Option<u64>,
@@ -130,12 +136,13 @@
 }
 
 impl NamedVersions {
-    /// Creates the state of an entry host that knows of no naming. Older
+    /// Creates the state of an entry host that has read nothing yet. Older
     /// versions may start work for `bound_ms` milliseconds after a naming; if
     /// that is 0, there is no bound.
     pub fn new(bound_ms: u64) -> NamedVersions {
         NamedVersions {
             bound_ms,
+            is_read: false,
             complete_until_ms: None,
             away_until_ms: 0,
             by_model: BTreeMap::new(),
@@ -181,9 +188,21 @@
         })
     }
 
+    /// Records that it is known which versions there are, as of an unknown
+    /// time.
+    pub fn record_read(&mut self) {
+        self.is_read = true;
+    }
+
+    /// Whether it is known which versions there are.
+    pub fn is_read(&self) -> bool {
+        self.is_read
+    }
+
     /// Records that every naming until a time is known. Call this after
     /// recording the versions in an answer of the store.
     pub fn record_complete(&mut self, until_ms: u64) {
+        self.record_read();
         self.complete_until_ms = self.complete_until_ms.max(Some(until_ms));
     }
 
@@ -234,11 +253,15 @@
     }
 
     /// Returns the lowest version of a model that may still start work
-    /// `ahead_ms` from now; 0 if there is no bound.
+    /// `ahead_ms` from now; 0 if there is no bound, and [`ANY_VERSION`] while
+    /// the versions are not read.
     pub fn min_version(&self, now_ms: u64, model: &str, ahead_ms: u64) -> u64 {
         if self.bound_ms == 0 {
             return 0;
         }
+        if !self.is_read {
+            return ANY_VERSION;
+        }
         let until_ms = now_ms + ahead_ms;
         let known = self.by_model.get(model);
         known.map_or(0, |known| known.min_version(until_ms, self.bound_ms))
@@ -247,10 +270,13 @@
     /// Returns the versions of a model with the time until nothing older may
     /// start.
     pub fn bounds(&self, now_ms: u64, model: &str) -> Vec<VersionBound> {
-        let known = self.by_model.get(model);
-        let Some(known) = known.filter(|_| self.bound_ms > 0) else {
+        if self.bound_ms == 0 {
             return Vec::new();
-        };
-        known.bounds(now_ms, self.bound_ms)
+        }
+        if !self.is_read {
+            return vec![VersionBound { version: ANY_VERSION, left_ms: 0 }];
+        }
+        let known = self.by_model.get(model);
+        known.map_or(vec![], |known| known.bounds(now_ms, self.bound_ms))
     }
 }
--- a/crates/raildale-core/src/gateway/versions/told.rs
+++ b/crates/raildale-core/src/gateway/versions/told.rs
@@ -56,7 +56,7 @@
             ..ToldVersions::default()
         };
         for (model, known) in &self.by_model {
-            let min_version = self.min_version(now_ms, model, 0);
+            let min_version = known.min_version(now_ms, self.bound_ms);
             let bounding = known.heard().filter(|v| v.version >= min_version);
             told.heard.extend(bounding.map(|named| (model.clone(), named)));
             let unheard = known.unheard();
--- a/crates/raildale-core/tests/deadly_part_world/mod.rs
+++ b/crates/raildale-core/tests/deadly_part_world/mod.rs
@@ -669,6 +669,7 @@
         version_ms: 0,
         regions: Regions::new(),
     });
+    gateway.versions.record_read();
     let senders = (0..hosts).map(|place| Sender {
         data_centre: centre(place),
         demand: SOUND_PER_S * targets.len() as f64 / hosts as f64,
--- a/crates/raildale-core/tests/free_slots.rs
+++ b/crates/raildale-core/tests/free_slots.rs
@@ -69,6 +69,7 @@
         version_ms: 0,
         regions: Regions::new(),
     });
+    gateway.versions.record_read();
     gateway.set_routing(routing());
     gateway.set_entry_hosts(senders.to_vec(), own);
     for place in 1..=TARGETS {
--- a/crates/raildale-core/tests/gateway.rs
+++ b/crates/raildale-core/tests/gateway.rs
@@ -117,6 +117,7 @@
         version_ms: VERSION_MS,
         regions: Regions::new(),
     });
+    gateway.versions.record_read();
     assert!(gateway.set_routing(routing()));
     gateway
 }
--- a/crates/raildale-core/tests/named_versions.rs
+++ b/crates/raildale-core/tests/named_versions.rs
@@ -4,8 +4,8 @@
 use raildale_core::{
     Name,
     gateway::versions::{
-        AgedVersion, ListedVersion, NamedVersion, NamedVersions, NamingBasis,
-        Sighting, told::ToldVersions,
+        ANY_VERSION, AgedVersion, ListedVersion, NamedVersion, NamedVersions,
+        NamingBasis, Sighting, told::ToldVersions,
     },
 };
 use yare::parameterized;
@@ -51,6 +51,7 @@
     let model = model();
     let listed = ListedVersion { model: &model, version, recorded: &recorded };
     versions.record_listed(NOW_MS, listed, Sighting::Found);
+    versions.record_read();
 }
 
 fn basis(versions: &NamedVersions, version: u64) -> Option<NamingBasis> {
@@ -239,6 +240,27 @@
     assert_eq!(left_ms(&paused, 1), Some(BOUND_MS - 6_000));
 }
 
+// Guards against work on any version while the versions are not read: any may
+// have been named.
+#[test]
+fn nothing_may_start_before_the_versions_are_read() {
+    let mut versions = versions();
+    assert_eq!(versions.min_version(NOW_MS, "m", 0), ANY_VERSION);
+    assert_eq!(left_ms(&versions, 7), Some(0));
+    versions.merge(versions_heard(&[(2, 1_000)]).told(NOW_MS));
+    assert_eq!(versions.min_version(NOW_MS, "m", 0), 0);
+    assert_eq!(left_ms(&versions, 1), Some(BOUND_MS - 1_000));
+    assert_eq!(left_ms(&versions, 2), None);
+}
+
+#[test]
+fn a_model_without_versions_has_no_bound() {
+    let mut versions = versions();
+    versions.record_read();
+    assert_eq!(versions.min_version(NOW_MS, "m", 0), 0);
+    assert_eq!(left_ms(&versions, 1), None);
+}
+
 #[test]
 fn without_a_bound_nothing_is_too_old() {
     let mut versions = NamedVersions::new(0);
--- a/crates/raildale-core/tests/notices_world/mod.rs
+++ b/crates/raildale-core/tests/notices_world/mod.rs
@@ -494,6 +494,7 @@
         version_ms: 0,
         regions: Regions::new(),
     });
+    gateway.versions.record_read();
     gateway.set_routing(routing());
     gateway.set_entry_hosts(senders.to_vec(), own);
     gateway.set_known_entry_hosts(senders.len());
--- a/crates/raildale-core/tests/places.rs
+++ b/crates/raildale-core/tests/places.rs
@@ -63,6 +63,7 @@
         version_ms: 0,
         regions: regions(),
     });
+    gateway.versions.record_read();
     gateway.set_routing(
         Routing::new(1)
             .with_route(route)
--- a/crates/raildale-core/tests/target_leaving.rs
+++ b/crates/raildale-core/tests/target_leaving.rs
@@ -61,6 +61,7 @@
         version_ms: 0,
         regions: Regions::new(),
     });
+    gateway.versions.record_read();
     gateway.set_routing(
         Routing::new(1)
             .with_route(route("/", "model", RouteKind::Streaming))
--- a/crates/raildale-testkit/src/load/world.rs
+++ b/crates/raildale-testkit/src/load/world.rs
@@ -783,6 +783,7 @@
         version_ms: 0,
         regions: Regions::new(),
     });
+    gateway.versions.record_read();
     gateway.set_routing(routing(pattern));
     for (index, target) in targets.iter().enumerate() {
         let stamp = Stamp::new(0, 1);
--- a/crates/raildale/src/fleet/entry/host/changes.rs
+++ b/crates/raildale/src/fleet/entry/host/changes.rs
@@ -75,6 +75,9 @@
         self.record_era(kind, snapshot.stamp);
         let source = ChangeSource::EntryHost { lapsed };
         self.apply_snapshot(kind, snapshot, source_extent, &source);
+        if kind == Kind::Versions {
+            self.gateway.borrow_mut().versions.record_read();
+        }
     }
 
     fn apply_snapshot(
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -28,8 +28,8 @@
     LogEvent, Name,
     catalog::{Kind, Stamp},
     gateway::{
-        Fingerprint, Gateway, GatewayConfig, evacuations::Evacuations,
-        retry_budget::RetryBound, routes::Limits,
+        Fingerprint, Gateway, GatewayConfig, Service,
+        evacuations::Evacuations, retry_budget::RetryBound, routes::Limits,
     },
     members::{MemberEntry, Members, joining::Joining, sources::Sources},
 };
@@ -343,12 +343,30 @@
         };
     }
 
-    /// Waits until this entry host can serve requests, for as long as it may
-    /// hold one whose caller waits for another `left_ms`.
-    pub async fn wait_until_ready(&self, left_ms: u64) {
-        let hold_ms = self.joining.borrow().hold_ms(now_ms(), left_ms);
-        let end_ms = now_ms() + hold_ms;
-        while !self.is_ready() && !self.is_leaving() && now_ms() < end_ms {
+    /// Returns until when a request may be held that arrives before this entry
+    /// host can serve it, and whose caller waits for another `left_ms`.
+    pub fn hold_end_ms(&self, left_ms: u64) -> u64 {
+        let now = now_ms();
+        now + self.joining.borrow().hold_ms(now, left_ms)
+    }
+
+    /// Waits until this entry host can serve requests, until `end_ms` at the
+    /// latest.
+    pub async fn wait_until_ready(&self, end_ms: u64) {
+        self.wait_until(end_ms, || self.is_ready()).await;
+    }
+
+    /// Waits until it is known which versions of a service's weights there are,
+    /// until `end_ms` at the latest.
+    pub async fn wait_for_versions(&self, service: &Service, end_ms: u64) {
+        let is_known = || !self.gateway.borrow().awaits_versions(service);
+        self.wait_until(end_ms, is_known).await;
+    }
+
+    /// Waits until `is_done` or this entry host leaves, until `end_ms` at the
+    /// latest.
+    async fn wait_until(&self, end_ms: u64, is_done: impl Fn() -> bool) {
+        while !is_done() && !self.is_leaving() && now_ms() < end_ms {
             tokio::time::sleep(READY_CHECK_INTERVAL).await;
         }
     }
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -113,13 +113,15 @@
     }
     let arrived_ms = now_ms();
     let left_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
-    host.wait_until_ready(left_ms).await;
+    let hold_end_ms = host.hold_end_ms(left_ms);
+    host.wait_until_ready(hold_end_ms).await;
     let draw = rand::random();
     let admitted = host.gateway.borrow_mut().admit(arrived_ms, &head, draw);
     let request = match admitted {
         Ok(request) => request,
         Err(refusal) => return refuse(&host, &head.id, refusal),
     };
+    host.wait_for_versions(&request.service, hold_end_ms).await;
     let Parts { method, uri, headers, .. } = parts;
     let fingerprints = Fingerprints::new(fingerprint(&method, &head, &body))
         .with_parts(&head.shared_parts);
