Withdraw waiting requests also where the target is no longer known

What callers saw: streams that began on an older version after its bound, at one target.

Cause: a request that waits at a target is withdrawn before the bound of a newer version if the target is known to serve an older one. If the target's entry had left the list, or neither its agent nor its entry told what it serves, it counted as not too old.

Why it works: each attempt keeps the version that its target was believed to serve when the request was sent. A start of a target does not go back, so that holds while nothing newer is known.

--- a/crates/raildale-core/src/gateway/served.rs
+++ b/crates/raildale-core/src/gateway/served.rs
@@ -37,20 +37,38 @@
 
     /// Returns whether a request that has not begun at a target must be
     /// withdrawn because the version there is about to become too old to start
-    /// work.
+    /// work. `sent_version` is the version that the target was believed to
+    /// serve when the request was sent.
     pub fn is_too_old(
         &self,
         now_ms: u64,
         request: &Admission,
         target: &str,
+        sent_version: Option<u64>,
     ) -> bool {
         let Some(model) = &request.model else { return false };
         let min_version =
             self.versions.min_version(now_ms, model, WITHDRAW_MARGIN_MS);
-        let serves = self
-            .targets
-            .get(target)
-            .and_then(|known| known.serves_version(now_ms));
-        serves.is_some_and(|version| version < min_version)
+        let version = self.latest_version(now_ms, target, sent_version);
+        version.is_some_and(|version| version < min_version)
+    }
+
+    /// Returns the version on which a request starts at a target to which it
+    /// was sent at `sent_version`; `None` if it starts on none. A start of a
+    /// target never goes back to an older version, so that what it served
+    /// holds while nothing newer is known.
+    fn latest_version(
+        &self,
+        now_ms: u64,
+        target: &str,
+        sent_version: Option<u64>,
+    ) -> Option<u64> {
+        let known = self.targets.get(target);
+        if let Some(report) = known.and_then(|known| known.report(now_ms)) {
+            let version = report.serves_version;
+            return (version > 0).then_some(version);
+        }
+        let listed = known.and_then(|known| known.spec.serves_version);
+        listed.max(sent_version)
     }
 }
--- a/crates/raildale-core/tests/gateway.rs
+++ b/crates/raildale-core/tests/gateway.rs
@@ -228,8 +228,22 @@
     gateway.versions.record_heard(&"m".into(), version);
     let request = admit(&mut gateway, "/deep/");
     let late_ms = START_MS + VERSION_MS - 600;
-    assert!(!gateway.is_too_old(START_MS + 1_000, &request, "t"));
-    assert!(gateway.is_too_old(late_ms, &request, "t"));
+    assert!(!gateway.is_too_old(START_MS + 1_000, &request, "t", Some(1)));
+    assert!(gateway.is_too_old(late_ms, &request, "t", Some(1)));
+}
+
+#[test]
+fn what_waits_where_nothing_is_known_is_withdrawn_before_the_bound() {
+    let mut gateway = gateway();
+    let version = NamedVersion { version: 2, named_ms: START_MS };
+    gateway.versions.record_heard(&"m".into(), version);
+    let request = admit(&mut gateway, "/deep/");
+    let late_ms = START_MS + VERSION_MS - 600;
+    assert!(gateway.is_too_old(late_ms, &request, "t", Some(1)), "unlisted");
+    gateway.targets.put(target("t", "model", 1, None));
+    assert!(gateway.is_too_old(late_ms, &request, "t", Some(1)), "unknown");
+    gateway.targets.put(target("t", "model", 1, Some(2)));
+    assert!(!gateway.is_too_old(late_ms, &request, "t", Some(1)), "newer");
 }
 
 // Failure: an entry host that was killed or frozen while a version was named
@@ -259,8 +273,8 @@
     }
     let request = admit(&mut gateway, "/deep/");
     let bound_ms = START_MS - 5_000 + VERSION_MS;
-    assert!(!gateway.is_too_old(bound_ms - 800, &request, "t"));
-    assert!(gateway.is_too_old(bound_ms - 600, &request, "t"));
+    assert!(!gateway.is_too_old(bound_ms - 800, &request, "t", Some(1)));
+    assert!(gateway.is_too_old(bound_ms - 600, &request, "t", Some(1)));
 }
 
 #[parameterized(
--- a/crates/raildale/src/fleet/entry/attempt.rs
+++ b/crates/raildale/src/fleet/entry/attempt.rs
@@ -152,6 +152,12 @@
         }
     }
 
+    /// Returns the version that the target was believed to serve when the
+    /// request was sent; `None` if that was not known.
+    pub fn sent_version(&self) -> Option<u64> {
+        self.served.map(|served| served.version)
+    }
+
     /// Sets the connection on which the answer arrives.
     pub fn with_connection(mut self, connection: Connection) -> Attempt<P> {
         self.connection = Some(connection);
--- a/crates/raildale/src/fleet/entry/hedge.rs
+++ b/crates/raildale/src/fleet/entry/hedge.rs
@@ -55,6 +55,9 @@
 pub struct PendingAttempt<'a> {
     /// Its target.
     pub target: &'a Name,
+    /// The version that the target was believed to serve when the request was
+    /// sent; `None` if that was not known.
+    pub sent_version: Option<u64>,
     /// Whether its answer has begun.
     pub has_begun: bool,
     /// The ID of the event after which another target resumes the stream.
@@ -256,6 +259,8 @@
 where
     P: Dialect + Store + 'static,
 {
+    let PendingAttempt { target, sent_version, .. } = pending;
     let gateway = host.gateway.borrow();
-    !pending.has_begun && gateway.is_too_old(now_ms(), request, pending.target)
+    !pending.has_begun
+        && gateway.is_too_old(now_ms(), request, target, sent_version)
 }
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -281,8 +281,12 @@
             &self.fingerprints,
             target,
         );
-        let pending =
-            PendingAttempt { target, has_begun: false, resume_after };
+        let pending = PendingAttempt {
+            target,
+            sent_version: attempt.sent_version(),
+            has_begun: false,
+            resume_after,
+        };
         let may_repeat = self.request.route.may_repeat();
         let pool = self.host.pool.clone();
         let mut failure = SendFailure::NotSent;
--- a/crates/raildale/src/fleet/entry/stream_body.rs
+++ b/crates/raildale/src/fleet/entry/stream_body.rs
@@ -175,6 +175,7 @@
             }
             let pending = PendingAttempt {
                 target: &self.attempt.target,
+                sent_version: self.attempt.sent_version(),
                 has_begun: true,
                 resume_after: self.splitter.last_id(),
             };
