Take a stream for begun with its first event, not with its head

What callers saw: streams that began on an older version after its bound, at a target that sends the head of its answer before it works on the request.

Cause: from the head on, an attempt counted as begun and was no longer withdrawn before the bound; nor was a second attempt, for whose first event another one waited.

Why it works: the progress of an attempt has three states. Work may begin after the head, so an attempt is withdrawn until its first event. Silence and deadlines are counted from the head, as before.

--- a/crates/raildale/src/fleet/entry/hedge.rs
+++ b/crates/raildale/src/fleet/entry/hedge.rs
@@ -50,6 +50,17 @@
     pub failed: Option<T>,
 }
 
+/// How far the answer to an attempt has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// Nothing has arrived.
+    Sent,
+    /// The head of the answer has arrived. Work may still not have begun.
+    Opened,
+    /// An event has arrived, so that work has begun.
+    Begun,
+}
+
 /// An attempt in progress.
 #[derive(Clone, Copy, Debug)]
 pub struct PendingAttempt<'a> {
@@ -58,8 +69,8 @@
     /// The version that the target was believed to serve when the request was
     /// sent; `None` if that was not known.
     pub sent_version: Option<u64>,
-    /// Whether its answer has begun.
-    pub has_begun: bool,
+    /// How far its answer has come.
+    pub progress: Progress,
     /// The ID of the event after which another target resumes the stream.
     pub resume_after: Option<&'a str>,
 }
@@ -163,7 +174,8 @@
         let mut opened = self.open(resume_after).await.ok()?;
         let is_success = opened.response.status().is_success();
         let has_begun = is_success
-            && (!opened.is_event_stream || opened.read_first_event().await);
+            && (!opened.is_event_stream
+                || self.await_first_event(&mut opened).await);
         if !has_begun {
             self.request.may_have_run = true;
             return None;
@@ -171,6 +183,24 @@
         Some(opened)
     }
 
+    /// Waits for the first event of a stream. Returns false if there is none, or
+    /// if it could begin on a version that is too old.
+    async fn await_first_event(&self, opened: &mut Opened<P>) -> bool {
+        let target = opened.attempt.target.clone();
+        let pending = PendingAttempt {
+            target: &target,
+            sent_version: opened.attempt.sent_version(),
+            progress: Progress::Opened,
+            resume_after: None,
+        };
+        let request = self.request.clone();
+        let over = version_too_old(self.host.clone(), request, pending);
+        tokio::select! {
+            has_begun = opened.read_first_event() => has_begun,
+            () = over => false,
+        }
+    }
+
     /// Returns why an attempt must be given up; `None` if it may continue.
     fn stop_cause(&self, pending: PendingAttempt<'_>) -> Option<Cause> {
         if now_ms() >= self.deadline_ms(pending) {
@@ -182,9 +212,9 @@
 
     /// Returns when an attempt must end, whatever it has produced.
     fn deadline_ms(&self, pending: PendingAttempt<'_>) -> u64 {
-        match pending.has_begun {
-            true => self.request.answer_due_ms(),
-            false => self.request.due_ms,
+        match pending.progress {
+            Progress::Sent => self.request.due_ms,
+            Progress::Opened | Progress::Begun => self.request.answer_due_ms(),
         }
     }
 
@@ -198,7 +228,7 @@
             &self.request,
             pending.target,
             silent_ms,
-            pending.has_begun,
+            pending.progress != Progress::Sent,
         )
     }
 }
@@ -249,7 +279,7 @@
     }
 }
 
-/// Whether an attempt whose answer has not begun must be given up because its
+/// Whether an attempt whose work has not begun must be given up because its
 /// target's version is about to become too old to start on.
 fn is_too_old<P>(
     host: &EntryHost<P>,
@@ -261,6 +291,6 @@
 {
     let PendingAttempt { target, sent_version, .. } = pending;
     let gateway = host.gateway.borrow();
-    !pending.has_begun
+    pending.progress != Progress::Begun
         && gateway.is_too_old(now_ms(), request, target, sent_version)
 }
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -25,7 +25,7 @@
     attempt::{Attempt, Cause, Opened},
     callers::{self, RequestGuard},
     heads,
-    hedge::{HedgeOutcome, PendingAttempt, Takeover},
+    hedge::{HedgeOutcome, PendingAttempt, Progress, Takeover},
     refusals::{host_refusal, refuse, respond},
     stream_body,
     upstream::{Connection, SendFailure},
@@ -284,7 +284,7 @@
         let pending = PendingAttempt {
             target,
             sent_version: attempt.sent_version(),
-            has_begun: false,
+            progress: Progress::Sent,
             resume_after,
         };
         let may_repeat = self.request.route.may_repeat();
--- a/crates/raildale/src/fleet/entry/stream_body.rs
+++ b/crates/raildale/src/fleet/entry/stream_body.rs
@@ -17,7 +17,7 @@
 
 use super::{
     attempt::{Attempt, Cause, Opened},
-    hedge::{HedgeOutcome, PendingAttempt, Takeover},
+    hedge::{HedgeOutcome, PendingAttempt, Progress, Takeover},
     proxy::{AnswerBody, BodyFailure, Exchange},
 };
 use crate::fleet::{
@@ -173,10 +173,14 @@
             if !self.buffered.is_empty() {
                 return StreamInput::Data(std::mem::take(&mut self.buffered));
             }
+            let progress = match self.attempt.has_begun {
+                true => Progress::Begun,
+                false => Progress::Opened,
+            };
             let pending = PendingAttempt {
                 target: &self.attempt.target,
                 sent_version: self.attempt.sent_version(),
-                has_begun: true,
+                progress,
                 resume_after: self.splitter.last_id(),
             };
             let has_partial = self.splitter.has_partial();
