Take the store for away only if reads of all kinds fail

Cause: failures of the versions' watch counted as the absence of the store, which named a version meanwhile.

An outage of all kinds with a naming at its end is served as before.

Why it works: an absence dates versions only at an entry host that fails to read every kind; the second failure makes it ask for the others at once.

--- a/crates/raildale/src/fleet/entry/host/changes.rs
+++ b/crates/raildale/src/fleet/entry/host/changes.rs
@@ -18,7 +18,7 @@
 use crate::{
     error::Error,
     fleet::{
-        edge::{Dialect, Store},
+        edge::{Dialect, Store, StoreFailure},
         steady_clock::now_ms,
     },
 };
@@ -168,6 +168,26 @@
         }
     }
 
+    /// Records how the last read of a kind from the store ended, or that this
+    /// entry host does not read it.
+    pub fn record_read_result(
+        &self,
+        kind: Kind,
+        failure: Option<&StoreFailure>,
+    ) {
+        let mut failed = self.failed_reads.borrow_mut();
+        match failure {
+            Some(StoreFailure::HistoryGone) | None => failed.remove(&kind),
+            Some(_) => failed.insert(kind),
+        };
+    }
+
+    /// Whether the last reads of all kinds from the store failed.
+    pub fn fails_all_reads(&self) -> bool {
+        let failed = self.failed_reads.borrow();
+        self.kinds().iter().all(|kind| failed.contains(kind))
+    }
+
     /// Handles a suspension of the process or its machine: connections to the
     /// store may be dead, and changes since then are requested on new
     /// connections at once instead of after a time-out.
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -109,6 +109,8 @@
     pub joining: RefCell<Joining>,
     /// Since when the store has not answered; `None` while it does.
     store_down_since_ms: Cell<Option<u64>>,
+    /// The kinds whose last read from the store failed.
+    failed_reads: RefCell<BTreeSet<Kind>>,
     /// When the store last recovered from an outage or was restored; 0 if
     /// neither has happened.
     store_recovered_ms: Cell<u64>,
@@ -215,6 +217,7 @@
                 rand::random_range(range)
             })),
             store_down_since_ms: Cell::new(None),
+            failed_reads: RefCell::default(),
             store_recovered_ms: Cell::new(0),
             store_era: Cell::new(None),
             older_answers: RefCell::default(),
--- a/crates/raildale/src/fleet/entry/store_watch.rs
+++ b/crates/raildale/src/fleet/entry/store_watch.rs
@@ -52,6 +52,9 @@
 /// longest between data centres.
 const MAX_PROMPT_DELAY_MS: u64 = 100;
 
+/// The number of consecutive failures of connections that show an outage.
+const FAILURES_OF_OUTAGE: u32 = 2;
+
 /// The minimum pause after a failed call.
 const MIN_BACKOFF_MS: u64 = 150;
 
@@ -97,6 +100,7 @@
     let mut is_continuous = false;
     loop {
         if !host.may_ask_store(kind) {
+            host.record_read_result(kind, None);
             tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
             // A copy received from a peer meanwhile can be watched from.
             must_list = !host.store_mirror.is_known(kind);
@@ -118,6 +122,7 @@
         let is_prompt =
             elapsed_ms <= wait_ms(kind, failures) + MAX_PROMPT_DELAY_MS;
         is_continuous = result.is_ok() && !must_list && is_prompt;
+        host.record_read_result(kind, result.as_ref().err());
         match result {
             Ok(()) => {
                 failures = 0;
@@ -169,7 +174,7 @@
     match failure {
         StoreFailure::Unavailable => true,
         StoreFailure::Silent | StoreFailure::Lost | StoreFailure::Busy => {
-            failures > 1
+            failures >= FAILURES_OF_OUTAGE
         }
         StoreFailure::HistoryGone => false,
     }
@@ -182,21 +187,25 @@
 /// its return are not as old as the last answer. Dated by the last answer, a
 /// version named at the end of 8 s without the store left 13% of that half
 /// minute's requests unserved. The store may turn some machines away and serve
-/// others and the operator, so this holds only while all entry hosts are heard.
-/// A first failure of the connection shows nothing about the store.
+/// others and the operator, or fail for one kind alone, so this holds only while
+/// all entry hosts are heard and all kinds fail. A first failure of the connection shows nothing about the store.
 fn on_versions_watch_failed<P>(
     host: &EntryHost<P>,
     failure: StoreFailure,
     failures: u32,
     started_ms: u64,
-) {
-    if failure == StoreFailure::Silent {
+) where
+    P: Dialect + Store + 'static,
+{
+    let must_check_others = failures == FAILURES_OF_OUTAGE;
+    if failure == StoreFailure::Silent || must_check_others {
         host.store_silent.notify_waiters();
     }
     // A store that is too busy for this call may accept a version.
     let is_away =
         failure != StoreFailure::Busy && shows_outage(failure, failures);
-    if is_away && host.members.borrow().are_all_heard(now_ms()) {
+    let are_all_heard = host.members.borrow().are_all_heard(now_ms());
+    if is_away && are_all_heard && host.fails_all_reads() {
         host.gateway.borrow_mut().versions.record_away(started_ms);
     }
 }
