Hold requests of a starting entry host until it has read the quarantine

What callers saw: sound requests lost with their targets right after a start of all entry hosts, though the store holds the record of the request that crashes targets.

Cause: as with the versions, a quarantine that is not read yet counted as none.

Evidence: query_of_death.rs, reads of the quarantine fail for 0.6 s after a start: the request reached all 16 targets before, none now.

Why it works: a starting entry host holds requests until it knows the quarantine, for as long as it may hold one. It serves after that: refusing what is sound for as long as one kind can't be read would be worse.

--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -359,11 +359,15 @@
         self.wait_until(end_ms, || self.is_ready()).await;
     }
 
-    /// Waits until it is known which versions of a service's weights there are,
-    /// until `end_ms` at the latest.
-    pub async fn wait_for_versions(&self, service: &Service, end_ms: u64) {
-        let is_known = || !self.gateway.borrow().awaits_versions(service);
-        self.wait_until(end_ms, is_known).await;
+    /// Waits until it is known which requests are quarantined, and which
+    /// versions of a service's weights there are, until `end_ms` at the latest.
+    pub async fn wait_until_informed(&self, service: &Service, end_ms: u64) {
+        let is_informed = || {
+            let knows_versions =
+                !self.gateway.borrow().awaits_versions(service);
+            knows_versions && self.store_mirror.is_known(Kind::Quarantine)
+        };
+        self.wait_until(end_ms, is_informed).await;
     }
 
     /// Waits until `is_done` or this entry host leaves, until `end_ms` at the
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -121,7 +121,7 @@
         Ok(request) => request,
         Err(refusal) => return refuse(&host, &head.id, refusal),
     };
-    host.wait_for_versions(&request.service, hold_end_ms).await;
+    host.wait_until_informed(&request.service, hold_end_ms).await;
     let Parts { method, uri, headers, .. } = parts;
     let fingerprints = Fingerprints::new(fingerprint(&method, &head, &body))
         .with_parts(&head.shared_parts);
