Log the version on which a request ran, and alarm if its bound was over

510 and 513 tell the version that the target names in its answer beside the one that it was believed to serve. Event 518 and a counter tell an operator as it happens that work began on a version whose bound was over. No decision changes.

--- a/crates/raildale-core/src/log_event.rs
+++ b/crates/raildale-core/src/log_event.rs
@@ -109,6 +109,7 @@
     CallerLeft = 515, Info, "a caller disconnected before its answer was complete";
     TargetWaits = 516, Info, "a target refused a request and asked this entry host to wait";
     CallerCut = 517, Info, "a caller's connection ended with an error";
+    RunTooOld = 518, Alarm, "work began on a version of weights whose bound was over";
 }
 
 impl LogEvent {
--- a/crates/raildale/src/fleet/edge.rs
+++ b/crates/raildale/src/fleet/edge.rs
@@ -189,6 +189,10 @@
         request_id: &str,
     ) -> AnswerHead;
 
+    /// Returns the version of the weights on which a target ran a request, from
+    /// the headers of its answer; `None` if they don't tell.
+    fn run_version(&self, headers: &HeaderMap) -> Option<u64>;
+
     /// Returns the ID of the target's start that answered a health check;
     /// `None` if the answer does not contain it.
     fn answering_start(&self, headers: &HeaderMap) -> Option<Name>;
--- a/crates/raildale/src/fleet/entry/attempt.rs
+++ b/crates/raildale/src/fleet/entry/attempt.rs
@@ -10,7 +10,7 @@
     header::TRANSFER_ENCODING,
 };
 use raildale_core::{
-    Name,
+    LogEvent, Name,
     gateway::{
         Admission, EventSplitter, Fingerprints, Outcome, outcomes::Silence,
         served::ServedVersion, target_end::StartId,
@@ -63,9 +63,11 @@
     /// Creates it from an answer of which only the head was read.
     pub fn new(
         response: Response<Incoming>,
-        attempt: Attempt<P>,
+        mut attempt: Attempt<P>,
     ) -> Opened<P> {
         let is_unframed = is_unframed(&response);
+        let platform = &attempt.host.platform;
+        attempt.run_version = platform.run_version(response.headers());
         Opened {
             response,
             attempt,
@@ -120,6 +122,8 @@
     /// The version that the target was believed to serve when the request was
     /// sent; `None` if that was not known.
     pub served: Option<ServedVersion>,
+    /// The version on which it ran, as the target says; `None` if it does not.
+    pub run_version: Option<u64>,
     /// When the request was sent, in milliseconds of the steady clock.
     pub sent_ms: u64,
     /// Whether an event, or a whole answer, has arrived.
@@ -146,6 +150,7 @@
             start: request.sent_to,
             connection: None,
             served,
+            run_version: None,
             sent_ms: now,
             has_begun: false,
             is_over: false,
@@ -183,6 +188,18 @@
         let took_ms = now.saturating_sub(self.sent_ms);
         let mut gateway = self.host.gateway.borrow_mut();
         gateway.record_begun(now, request, &self.target, took_ms);
+        let model = request.model.as_deref().unwrap_or_default();
+        let min_version = gateway.versions.min_version(now, model, 0);
+        drop(gateway);
+        if let Some(version) = self.run_version.filter(|v| *v < min_version) {
+            let detail = format!(
+                "target={} version={version} min_version={min_version} \
+                 took_ms={took_ms}",
+                self.target
+            );
+            self.host.metrics.add("runs_too_old_total", "", 1);
+            self.host.log(LogEvent::RunTooOld, &detail);
+        }
     }
 
     /// Ends the attempt. Returns whether the request may be sent again.
--- a/crates/raildale/src/fleet/entry/exchange_log.rs
+++ b/crates/raildale/src/fleet/entry/exchange_log.rs
@@ -68,20 +68,22 @@
 }
 
 /// Returns when an attempt was sent, in milliseconds since the request's
-/// arrival, the version that its target was believed to serve then, and how
-/// long that version was still allowed to start work.
+/// arrival, the version that its target was believed to serve then, how long
+/// that version was still allowed to start work, and the version on which it
+/// ran.
 fn sent_text<P>(request: &Admission, attempt: &Attempt<P>) -> String
 where
     P: Dialect + Store + 'static,
 {
     let sent_at_ms = attempt.sent_ms.saturating_sub(request.arrived_ms);
-    let Some(served) = attempt.served else {
-        return format!("sent_at_ms={sent_at_ms} serves=none");
+    let or_none = |value: Option<u64>| {
+        value.map_or("none".to_string(), |value| value.to_string())
     };
-    let version = served.version;
-    let bound = match served.bound_left_ms {
-        Some(ms) => ms.to_string(),
-        None => "none".to_string(),
-    };
-    format!("sent_at_ms={sent_at_ms} serves={version} bound_left_ms={bound}")
+    let served = attempt.served;
+    format!(
+        "sent_at_ms={sent_at_ms} serves={} bound_left_ms={} ran={}",
+        or_none(served.map(|served| served.version)),
+        or_none(served.and_then(|served| served.bound_left_ms)),
+        or_none(attempt.run_version),
+    )
 }
