Allow for both clocks where a record dates a version

Cause, by reading: a record in the store is written by one machine's time of day and read by another's. Each may be off by 2 s, but 2 s were allowed for both together, and a process that stood still between reading its two clocks dated too late.

That the clocks are now read in the order that dates too early rather than too late has no test.

--- a/crates/raildale-core/src/gateway/versions/mod.rs
+++ b/crates/raildale-core/src/gateway/versions/mod.rs
@@ -106,9 +106,12 @@
     pub left_ms: u64,
 }
 
+/// How much the time of day of a machine may be off, in milliseconds.
+const CLOCK_ERROR_MS: u64 = 2_000;
+
 /// How much earlier than recorded a version may have been named, in
-/// milliseconds: the time of day may step by this much.
-const RECORD_ERROR_MS: u64 = 2_000;
+/// milliseconds: the writer's clock may be fast and the reader's slow.
+const RECORD_ERROR_MS: u64 = 2 * CLOCK_ERROR_MS;
 
 /// Stands for any version that may have been named: newer than all others.
 pub const ANY_VERSION: u64 = u64::MAX;
--- a/crates/raildale/src/fleet/entry/host/changes.rs
+++ b/crates/raildale/src/fleet/entry/host/changes.rs
@@ -421,6 +421,8 @@
             ChangeSource::Store { is_continuous: false }
             | ChangeSource::EntryHost { .. } => Sighting::Found,
         };
+        // If the process stands still in between, the dates are too early.
+        let now = now_ms();
         let recorded = recorded_ages(&named);
         let listed = ListedVersion {
             model: &named.model,
@@ -428,8 +430,7 @@
             recorded: &recorded,
         };
         let mut gateway = self.gateway.borrow_mut();
-        let change =
-            gateway.versions.record_listed(now_ms(), listed, sighting);
+        let change = gateway.versions.record_listed(now, listed, sighting);
         drop(gateway);
         if let Some(change) = change {
             let source_text = format!("{source_text} by={sighting:?}");
--- a/crates/raildale/src/fleet/entry/host/naming_records.rs
+++ b/crates/raildale/src/fleet/entry/host/naming_records.rs
@@ -55,7 +55,9 @@
         named: &NamedWeights,
     ) -> Option<Vec<NamingRecord>> {
         let gateway = self.gateway.borrow();
-        let (now, unix_now) = (now_ms(), unix_ms());
+        // If the process stands still in between, the record is too early.
+        let unix_now = unix_ms();
+        let now = now_ms();
         let heard = gateway.versions.heard(&named.model).into_iter();
         let is_stored = |version: u64| {
             named.records.iter().any(|record| record.version == version)
