--- a/crates/raildale-core/src/gateway/targets/mod.rs
+++ b/crates/raildale-core/src/gateway/targets/mod.rs
@@ -2,9 +2,11 @@
 //!
 //! * [`departed`]: starts that have left the list.
 //! * `notice_limits`: effects of targets' notices on the choice.
+//! * `version_bounds`: effects of the bounds of versions on the choice.
 
 pub mod departed;
 mod notice_limits;
+mod version_bounds;
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -85,20 +87,6 @@
     pub residency: Residency<'a>,
 }
 
-/// How long before a version's bound nothing is sent to an older version any
-/// more, in milliseconds. On a congested link, requests began up to 2.2 s
-/// after they were sent.
-const SEND_MARGIN_MS: u64 = 2_500;
-
-/// How long before a version's bound a target with an older version gets
-/// requests over a fast path only, in milliseconds. On a congested link,
-/// requests took 1.8 s.
-const NEAR_BOUND_MS: u64 = 3_500;
-
-/// The maximum round-trip time of a fast path to a target, in milliseconds:
-/// twenty times the longest between data centres.
-const FAST_ROUND_TRIP_MS: u64 = 110;
-
 /// The share of a target's slots that is reserved for their owners: an entry
 /// host without a slot of its own there sends only while more are free.
 const OWNERS_RESERVE_SHARE: f64 = 0.1;
@@ -485,8 +473,8 @@
     }
 
     fn fits(&self, target: &Target, now_ms: u64, need: Need<'_>) -> bool {
-        let is_new =
-            !need.needs_weights || is_new_enough(target, now_ms, need.bounds);
+        let is_new = !need.needs_weights
+            || version_bounds::is_new_enough(target, now_ms, need.bounds);
         self.is_open(target, now_ms)
             && is_new
             && is_resident(target, need)
@@ -540,9 +528,7 @@
     /// is about to become too old gets nothing that would wait there: if the
     /// target froze, the request would start too late.
     fn has_room(&self, target: &Target, now_ms: u64, need: Need<'_>) -> bool {
-        let serves = target.serves_version(now_ms).unwrap_or(0);
-        let newest = need.bounds.iter().map(|bound| bound.version).max();
-        let is_old = newest.is_some_and(|version| serves < version);
+        let is_old = version_bounds::is_old(target, now_ms, need.bounds);
         let reads_prompts = need.needs_weights;
         if reads_prompts && !target.may_read_another() {
             return false;
@@ -591,23 +577,3 @@
     let engine = service.engine.as_ref();
     engine.map_or(DEFAULT_RUN_MS, EngineSpec::usual_run_ms).max(1.0)
 }
-
-/// Returns whether a request that is sent now will start on a version that may
-/// still start work then. While a bound is pending, an older target gets
-/// nothing over a slow path, since a request in transit can't be withdrawn.
-fn is_new_enough(
-    target: &Target,
-    now_ms: u64,
-    bounds: &[VersionBound],
-) -> bool {
-    let Some(serves) = target.serves_version(now_ms) else { return false };
-    let worst_ms = target.worst_round_trip_ms(now_ms);
-    let is_slow = target.is_slow(now_ms);
-    bounds.iter().filter(|bound| bound.version > serves).all(|bound| {
-        let is_bound_near = bound.left_ms < NEAR_BOUND_MS;
-        let is_fast = worst_ms <= FAST_ROUND_TRIP_MS;
-        bound.left_ms > SEND_MARGIN_MS
-            && !is_slow
-            && (is_fast || !is_bound_near)
-    })
-}
