Take no date of version 0, which stands for none

What callers saw: nothing yet; found while reading the diff. A record of version 0 in the status of a version's entry would have had its model refused for good.

Cause: an undated version's number was lowered by one when the version got its date, also from 0, where it wrapped to the highest number.

Evidence: a_record_of_version_0_dates_nothing failed before and passes now.

Why it works: the only place that dates versions ignores 0, which all readers take for none.

--- a/crates/raildale-core/src/gateway/versions/model.rs
+++ b/crates/raildale-core/src/gateway/versions/model.rs
@@ -53,9 +53,9 @@
         self.find(version).map(|dated| dated.named.named_ms)
     }
 
-    /// Dates a version. What was heard replaces a record, and the earlier of
-    /// two dates on the same basis counts. Returns by how much the date on the
-    /// same basis is corrected; `None` if there was none.
+    /// Dates a version; 0 stands for none. What was heard replaces a record,
+    /// and the earlier of two dates on the same basis counts. Returns by how
+    /// much the date on the same basis is corrected; `None` if there was none.
     pub fn insert(
         &mut self,
         version: u64,
@@ -63,7 +63,7 @@
         basis: NamingBasis,
     ) -> Option<u64> {
         self.record_newest(version);
-        if version < self.undated {
+        if version == 0 || version < self.undated {
             return None;
         }
         if version == self.undated {
--- a/crates/raildale-core/tests/named_versions.rs
+++ b/crates/raildale-core/tests/named_versions.rs
@@ -278,3 +278,14 @@
     assert_eq!(versions.min_version(NOW_MS, "m", 0), 0);
     assert_eq!(versions.bounds(NOW_MS, "m"), []);
 }
+
+// Guards against a model that is refused for good: version 0 stands for none,
+// and a record of it counted every version as named long ago.
+#[test]
+fn a_record_of_version_0_dates_nothing() {
+    let mut versions = versions();
+    find(&mut versions, 1, &[(0, 1_000), (1, 1_000)]);
+    hear(&mut versions, 0, 1_000);
+    assert_eq!(versions.min_version(NOW_MS, "m", 0), 0);
+    assert_eq!(basis(&versions, 1), Some(NamingBasis::Recorded));
+}
--- a/crates/raildale/src/fleet/entry/store_watch.rs
+++ b/crates/raildale/src/fleet/entry/store_watch.rs
@@ -184,11 +184,10 @@
 /// is the last of `failures` consecutive ones.
 ///
 /// An unavailable store accepts no new version either, so versions found at
-/// its return are not as old as the last answer. Dated by the last answer, a
-/// version named at the end of 8 s without the store left 13% of that half
-/// minute's requests unserved. The store may turn some machines away and serve
-/// others and the operator, or fail for one kind alone, so this holds only while
-/// all entry hosts are heard and all kinds fail. A first failure of the connection shows nothing about the store.
+/// its return are not as old as the last answer. The store may turn some
+/// machines away and serve others and the operator, or fail for one kind alone,
+/// so this holds only while all entry hosts are heard and all kinds fail. A
+/// first failure of the connection shows nothing about the store.
 fn on_versions_watch_failed<P>(
     host: &EntryHost<P>,
     failure: StoreFailure,
