Keep the bound of a version that is no longer listed

What callers would see: streams on an older version after its bound.

Cause: the store lists the newest version of a model alone. An entry host that had known all namings until long ago (stopped, or cut off), and found a later version with its record, or was told of it, took the one in between for not named. One that had just started lost it when another told it of a time before both.

Evidence: three tests of named_versions.rs failed before (0 for 2, the lowest version that may start) and pass now.

Why it works: the newest version up to the listed one that has no date, and is newer than all that was known, may have been named since, and gets the date of the last complete knowledge. What counted as named long ago gets the date of the sender's knowledge also if a newer one is dated. A version that another entry host can't date gets a date also if it is not the newest. A date that bounds nothing beyond that of a newer version is left out.

--- a/crates/raildale-core/src/gateway/versions/mod.rs
+++ b/crates/raildale-core/src/gateway/versions/mod.rs
@@ -162,6 +162,7 @@
         let ListedVersion { model, version, recorded } = listed;
         let known_until_ms = self.known_until_ms();
         let known = self.by_model.entry(model.clone()).or_default();
+        let newest_before = known.newest();
         known.record_newest(version);
         let before = known.basis(version);
         if sighting == Sighting::Watched && before.is_none() {
@@ -174,12 +175,18 @@
             let named_ms = now_ms.saturating_sub(age_ms);
             known.insert(record.version, named_ms, NamingBasis::Recorded);
         }
+        // Only the newest version is listed, with records of some older ones.
+        let missing = known.newest_without_date(version);
+        let is_new = sighting == Sighting::Found && missing > newest_before;
         match known_until_ms {
+            Some(known_ms) if is_new => {
+                known.insert_possible(missing, known_ms);
+            }
             Some(known_ms) if known.basis(version).is_none() => {
                 known.insert(version, known_ms, NamingBasis::Heard);
             }
             Some(_) => {}
-            None => known.raise_undated_below(version),
+            None => known.raise_undated(missing),
         }
         let basis = known.basis(version)?;
         (before != Some(basis)).then(|| DateChange {
--- a/crates/raildale-core/src/gateway/versions/model.rs
+++ b/crates/raildale-core/src/gateway/versions/model.rs
@@ -100,14 +100,28 @@
         self.dated.retain(|dated| dated.named.version > undated);
     }
 
-    /// Counts as named long ago the newest version up to `version` that has no
-    /// date: it may have been named although no list shows it any more.
-    pub fn raise_undated_below(&mut self, version: u64) {
+    /// Returns the newest version up to `version` that has no date: it may have
+    /// been named although no list shows it any more.
+    pub fn newest_without_date(&self, version: u64) -> u64 {
         let mut candidate = version;
         while self.find(candidate).is_some() {
             candidate -= 1;
         }
-        self.raise_undated(candidate);
+        candidate
+    }
+
+    /// Dates a version that may have been named at `named_ms` or later, unless
+    /// a newer one bounds the same by an earlier date. Returns whether it does.
+    pub fn insert_possible(&mut self, version: u64, named_ms: u64) -> bool {
+        let is_bounded = self.dated.iter().any(|dated| {
+            let NamedVersion { version: newer, named_ms: newer_ms } =
+                dated.named;
+            newer > version && newer_ms <= named_ms
+        });
+        if !is_bounded {
+            self.insert(version, named_ms, NamingBasis::Heard);
+        }
+        !is_bounded
     }
 
     /// Counts only `undated` and older versions as named long ago.
--- a/crates/raildale-core/src/gateway/versions/told.rs
+++ b/crates/raildale-core/src/gateway/versions/told.rs
@@ -116,10 +116,9 @@
                 continue;
             }
             match known_until_ms {
-                Some(known_ms) if *version > known.newest() => {
+                Some(known_ms) => {
                     known.insert(*version, known_ms, NamingBasis::Heard);
                 }
-                Some(_) => continue,
                 None => known.raise_undated(*version),
             }
             changes.extend(date_change(model, known, *version, None));
@@ -136,13 +135,14 @@
     ) -> Vec<DateChange> {
         let mut changes = Vec::new();
         for (model, known) in &mut self.by_model {
-            let newest = known.newest();
-            let was_undated = newest <= known.undated();
+            let version = known.undated();
             known.lower_undated(told.unheard_of(model));
-            let is_undated = newest <= known.undated();
-            if was_undated && !is_undated && !told.is_heard(model, newest) {
-                known.insert(newest, until_ms, NamingBasis::Heard);
-                changes.extend(date_change(model, known, newest, None));
+            let is_lowered = known.undated() < version;
+            if is_lowered
+                && !told.is_heard(model, version)
+                && known.insert_possible(version, until_ms)
+            {
+                changes.extend(date_change(model, known, version, None));
             }
         }
         changes
--- a/crates/raildale-core/tests/named_versions.rs
+++ b/crates/raildale-core/tests/named_versions.rs
@@ -289,3 +289,38 @@
     assert_eq!(versions.min_version(NOW_MS, "m", 0), 0);
     assert_eq!(basis(&versions, 1), Some(NamingBasis::Recorded));
 }
+
+// Guards against work on a version whose successor is not listed any more, at
+// an entry host that knew all namings until long ago and finds a later version
+// with its record.
+#[test]
+fn a_version_between_the_last_known_and_a_recorded_one_keeps_its_bound() {
+    let mut versions = versions();
+    versions.record_complete(NOW_MS - 20_000);
+    find(&mut versions, 3, &[(3, 1_000)]);
+    assert_eq!(versions.min_version(NOW_MS, "m", 0), 2);
+}
+
+// The same, if another entry host tells of the later version, and a third one
+// of that in between.
+#[test]
+fn a_version_between_the_last_known_and_a_heard_one_keeps_its_bound() {
+    let mut versions = versions();
+    versions.record_complete(NOW_MS - 20_000);
+    hear(&mut versions, 3, 1_000);
+    let unheard = vec![(model(), 2)];
+    versions.merge(ToldVersions { unheard, ..ToldVersions::default() });
+    assert_eq!(versions.min_version(NOW_MS, "m", 0), 2);
+}
+
+// The same, at an entry host that has just started and is told by one that knew
+// all namings until long ago.
+#[test]
+fn an_undated_version_below_a_recorded_one_keeps_its_bound() {
+    let mut versions = versions();
+    find(&mut versions, 3, &[(3, 1_000)]);
+    let told = versions_heard(&[]).told(NOW_MS);
+    let long_ago = Some(NOW_MS - 20_000);
+    versions.merge(ToldVersions { complete_until_ms: long_ago, ..told });
+    assert_eq!(versions.min_version(NOW_MS, "m", 0), 2);
+}
