--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -55,6 +55,7 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
+        // Set to read the logs of the processes after a run.
         if std::env::var_os("KEEP").is_none() {
             let _ = fs::remove_dir_all(&self.folder);
         }
