Ask for a key as soon as a configuration lists organisations

Cause: Routing held its keys in an Option that only with_organisation set, so that an absent field, an empty list and null were one state.

Change: Access names both states; a field that is present asks for keys. Weights of a split are added in 64 bits.

--- a/crates/raildale-core/src/gateway/routes.rs
+++ b/crates/raildale-core/src/gateway/routes.rs
@@ -15,12 +15,22 @@
     services: HashMap<Name, Arc<Service>>,
     /// The lowest and highest priority of the streams of each service.
     priorities: HashMap<Name, (u8, u8)>,
-    /// Organisations by API key; `None` if requests need no key.
-    keys: Option<HashMap<Name, Arc<Organisation>>>,
+    /// Who may send requests on routes that are not public.
+    access: Access,
     /// Limits on callers' requests.
     pub limits: Limits,
 }
 
+/// Who may send requests on routes that are not public.
+#[derive(Clone, Debug, Default)]
+enum Access {
+    /// Everyone, without a key.
+    #[default]
+    Open,
+    /// The holders of these keys; nobody while there are none.
+    Keys(HashMap<Name, Arc<Organisation>>),
+}
+
 /// Whether a request of a route may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
@@ -77,10 +87,11 @@
     /// Returns the service for a request, chosen by weight with the random
     /// number `draw`; `None` if there is none.
     pub fn service(&self, draw: u32) -> Option<&Name> {
-        let total: u32 = self.backends.iter().map(|(_, weight)| weight).sum();
-        let mut left = draw.checked_rem(total)?;
+        let weights = self.backends.iter().map(|(_, w)| u64::from(*w));
+        let mut left = u64::from(draw).checked_rem(weights.sum())?;
         for (name, weight) in &self.backends {
-            if left < *weight {
+            let weight = u64::from(*weight);
+            if left < weight {
                 return Some(name);
             }
             left -= weight;
@@ -218,16 +229,29 @@
         self
     }
 
-    /// Adds an organisation with its keys; from then on, requests need a key.
+    /// Requires a key on every route that is not public. Without an
+    /// organisation that holds one, such routes accept no request.
+    pub fn with_keys_required(mut self) -> Routing {
+        if let Access::Open = self.access {
+            self.access = Access::Keys(HashMap::new());
+        }
+        self
+    }
+
+    /// Adds an organisation with its keys, and requires a key as
+    /// [`Routing::with_keys_required`] does.
     pub fn with_organisation(
-        mut self,
+        self,
         organisation: Organisation,
         keys: impl IntoIterator<Item = Name>,
     ) -> Routing {
-        let organisation = Arc::new(organisation);
-        let known = self.keys.get_or_insert_default();
-        known.extend(keys.into_iter().map(|key| (key, organisation.clone())));
-        self
+        let mut routing = self.with_keys_required();
+        if let Access::Keys(known) = &mut routing.access {
+            let organisation = Arc::new(organisation);
+            let keys = keys.into_iter();
+            known.extend(keys.map(|key| (key, organisation.clone())));
+        }
+        routing
     }
 
     /// Sets the limits on callers' requests.
@@ -255,10 +279,10 @@
                 routes.iter().find(|r| path.starts_with(&*r.path_prefix))
             })
             .ok_or(NoRoute::Unknown)?;
-        let Some(keys) = &self.keys else {
-            return Ok((route.clone(), None));
+        let organisation = match &self.access {
+            Access::Open => return Ok((route.clone(), None)),
+            Access::Keys(keys) => key.and_then(|key| keys.get(key)).cloned(),
         };
-        let organisation = key.and_then(|key| keys.get(key)).cloned();
         if organisation.is_none() && !route.is_public {
             return Err(NoRoute::Unauthorised);
         }
