Read a kind again once the store has changed and its watch says nothing

Cause: the watch of the versions stood for all. Its short wait shows that all connections are silent; one that falls silent alone was left to its own wait of 10.8 s.

Change: an answer to the watch of versions names the store's last change of any kind. A kind whose own last answer is older is asked once more on another connection after 0.1 s. Event 315 names the watch.

--- a/crates/raildale-core/src/log_event.rs
+++ b/crates/raildale-core/src/log_event.rs
@@ -71,6 +71,7 @@
     StoreKept = 312, Info, "objects of a kind were kept because the restored store has older ones";
     Evacuation = 313, Alarm, "an evacuation of a data centre began, ended or was lost by the store";
     TargetCold = 314, Info, "a target is cold and gets only the rate that it bears";
+    WatchDeaf = 315, Warn, "a watch of the store missed changes that another connection returned";
     SpreadJoined = 400, Info, "a version is wanted and its spread was joined";
     SpreadWhole = 401, Info, "every chunk of a version is verified";
     SpreadDropped = 402, Info, "a version is no longer wanted";
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -94,6 +94,9 @@
     /// Wakes every watch of the store after it was restored, so that all kinds
     /// are listed again.
     pub store_restored: tokio::sync::Notify,
+    /// The stamp of the last answer to the watch of versions: the store's last
+    /// change of any kind at that time.
+    pub store_head: watch::Sender<Stamp>,
     /// The local copy of the store.
     pub store_mirror: StoreMirror,
     /// Cached snapshots, packed for other entry hosts.
@@ -208,6 +211,7 @@
             urgent_heartbeat_due: tokio::sync::Notify::new(),
             store_silent: tokio::sync::Notify::new(),
             store_restored: tokio::sync::Notify::new(),
+            store_head: watch::Sender::default(),
             store_mirror: StoreMirror::new(),
             packed: RefCell::default(),
             fetch_timeouts: Cell::default(),
--- a/crates/raildale/src/fleet/entry/mod.rs
+++ b/crates/raildale/src/fleet/entry/mod.rs
@@ -9,6 +9,7 @@
 //! * [`proxy`]: one request, from its head to its answer.
 //! * [`stream_body`]: answers that are event streams.
 //! * [`store_watch`]: watches of the store.
+//! * [`missed_changes`]: changes that a watch of the store has missed.
 //! * [`host`]: state shared by the tasks, and how changes of the store are
 //!   applied to it.
 //! * [`upstream`]: connections to targets.
@@ -33,6 +34,7 @@
 pub mod hedge;
 pub mod host;
 pub mod idle;
+pub mod missed_changes;
 pub mod peers;
 pub mod proxy;
 pub mod refusals;
--- a/crates/raildale/src/fleet/entry/store_watch.rs
+++ b/crates/raildale/src/fleet/entry/store_watch.rs
@@ -11,7 +11,7 @@
 
 use raildale_core::catalog::Kind;
 
-use super::EntryHost;
+use super::{EntryHost, missed_changes::missed_changes};
 use crate::fleet::{
     edge::{Dialect, Store, StoreFailure},
     steady_clock::now_ms,
@@ -22,17 +22,19 @@
 
 /// The same for the watch of versions, which seldom change. All connections
 /// may go silent at once, and only a time-out shows it: after this wait, and
-/// the time an answer may take, the other watches restart as well. Of a
-/// version's bound of 8 s that leaves the 3.7 s of a fill.
+/// the time an answer may take, the other watches restart as well. Each answer
+/// also shows whether another watch may have missed a change
+/// ([`super::missed_changes`]). Of a version's bound of 8 s that leaves the
+/// 3.7 s of a fill.
 const VERSIONS_WAIT_MS: u64 = 1_500;
 
-/// The same for the watch of the quarantine: it seldom changes, entry hosts
-/// inform each other as well, and the other watches detect silence.
+/// The same for the watch of the quarantine: it seldom changes, and entry hosts
+/// inform each other as well.
 const QUARANTINE_WAIT_MS: u64 = 30_000;
 
 /// The same for a watch after a failure, which shows whether the store is
 /// back: the shortest wait that the store accepts.
-const RECOVERY_WAIT_MS: u64 = 1;
+pub const RECOVERY_WAIT_MS: u64 = 1;
 
 /// The pause after changes of a list of targets or entry hosts, so that one
 /// call returns several: calls of the store are costly, and a target may leave
@@ -132,6 +134,7 @@
                 if kind == Kind::Versions {
                     let mut gateway = host.gateway.borrow_mut();
                     gateway.versions.record_complete(started_ms);
+                    host.store_head.send_replace(host.store_mirror.stamp(kind));
                 }
             }
             Err(StoreFailure::HistoryGone) => {
@@ -234,6 +237,7 @@
     let known = host.store_mirror.stamp(kind);
     let answer = tokio::select! {
         answer = host.platform.watch(kind, known.revision, wait_ms) => answer?,
+        answer = missed_changes(host, kind) => answer?,
         () = host.store_silent.notified() => return Err(StoreFailure::Silent),
         () = host.store_restored.notified() => {
             return Err(StoreFailure::HistoryGone);
