Choose the entry in use at an address from all that are listed

Cause: of the entries at one address one was kept and the other forgotten. While no configuration is known every service counts as used, so that the foreign entry won; once it was dropped, nothing put the target's back.

Change: Listings holds all entries and the services of the configuration; which entry is used at an address follows from these.

--- a/crates/raildale-core/src/gateway/admission.rs
+++ b/crates/raildale-core/src/gateway/admission.rs
@@ -127,6 +127,8 @@
             .as_ref()
             .is_none_or(|known| known.version < routing.version);
         if is_newer {
+            let services = routing.services().map(|s| s.name.clone());
+            self.targets.set_services(services.collect());
             self.routing = Some(Arc::new(routing));
         }
         is_newer
--- a/crates/raildale-core/src/gateway/targets/mod.rs
+++ b/crates/raildale-core/src/gateway/targets/mod.rs
@@ -1,19 +1,24 @@
 //! The known targets and the choice among them.
 //!
 //! * [`departed`]: starts that have left the list.
+//! * [`listings`]: the entries of the list, and which of them are used.
 //! * `notice_limits`: effects of targets' notices on the choice.
 //! * `version_bounds`: effects of the bounds of versions on the choice.
 
 pub mod departed;
+pub mod listings;
 mod notice_limits;
 mod version_bounds;
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
 };
 
-use self::departed::Departed;
+use self::{
+    departed::Departed,
+    listings::{Listings, Placement},
+};
 use super::{
     evacuations::Evacuations,
     notices::Notices,
@@ -30,6 +35,11 @@
 /// The targets of a fleet, as one entry host knows them.
 #[derive(Debug, Default)]
 pub struct Targets {
+    /// The entries of the list.
+    listings: Listings,
+    /// Targets that have come into use without a change of their own entries,
+    /// since the last call of [`Targets::take_reinstated`].
+    reinstated: Vec<Name>,
     by_id: BTreeMap<Name, Target>,
     by_address: HashMap<SocketAddr, Name>,
     by_service: HashMap<Name, Vec<Name>>,
@@ -191,16 +201,54 @@
         supplies.into_iter().collect()
     }
 
-    /// Adds or updates a target from its list entry. Load and health are kept
-    /// unless the target has started again under its name.
-    pub fn put(&mut self, spec: TargetSpec) {
-        let id = spec.id.clone();
-        if self.is_superseded(&spec) {
-            self.remove(&id);
+    /// Sets the services that the configuration names. Entries of others are
+    /// not used.
+    pub fn set_services(&mut self, services: BTreeSet<Name>) {
+        if !self.listings.set_services(services) {
             return;
         }
+        for address in self.listings.addresses() {
+            self.settle(address, None);
+        }
+    }
+
+    /// Adds or updates a target's entry. Returns what became of it. Load and
+    /// health are kept unless the target has started again under its name.
+    pub fn put(&mut self, spec: TargetSpec) -> Placement {
+        let (id, address) = (spec.id.clone(), spec.address);
         if let Some(target) = self.by_id.get_mut(&id) {
             target.lapse = None;
+        }
+        if let Some(left) = self.listings.put(spec) {
+            self.settle(left, Some(&id));
+        }
+        self.settle(address, Some(&id));
+        let placement = self.listings.placement(&id);
+        placement.unwrap_or(Placement::Displaced)
+    }
+
+    /// Uses the entry that an address belongs to, and no other one there.
+    /// `changed` names the entry whose change is the reason, if there is one.
+    fn settle(&mut self, address: SocketAddr, changed: Option<&Name>) {
+        let used = self.listings.used_at(address).cloned();
+        let before = self.by_address.get(&address).cloned();
+        if let Some(before) = before
+            && used.as_ref().is_none_or(|used| used.id != before)
+        {
+            self.retire(&before);
+        }
+        let Some(spec) = used else { return };
+        let is_known = self.by_id.contains_key(&spec.id);
+        if !is_known && changed != Some(&spec.id) {
+            self.reinstated.push(spec.id.clone());
+        }
+        self.employ(spec);
+    }
+
+    /// Uses an entry whose address no other entry uses.
+    fn employ(&mut self, spec: TargetSpec) {
+        let id = spec.id.clone();
+        if let Some(target) = self.by_id.get_mut(&id) {
             let is_moved = target.spec.address != spec.address
                 || target.spec.service != spec.service;
             let is_restarted = target.spec.born_ms != spec.born_ms;
@@ -208,12 +256,9 @@
                 target.spec = spec;
                 return;
             }
-            self.remove(&id);
-        }
-        if let Some(before) = self.by_address.insert(spec.address, id.clone())
-        {
-            self.remove(&before);
+            self.retire(&id);
         }
+        self.by_address.insert(spec.address, id.clone());
         let delisted = self.delisted.remove(&spec.address);
         // An entry that lapsed may return unchanged.
         let start = StartId::of(&spec);
@@ -223,28 +268,37 @@
         self.by_id.insert(id, Target::new(spec));
     }
 
-    /// Returns whether a later start has the target's address. A target that
-    /// crashed stays listed for three of its heartbeats, and requests to it
-    /// would be refused by the process that listens there now.
-    fn is_superseded(&self, spec: &TargetSpec) -> bool {
-        self.by_address
-            .get(&spec.address)
-            .filter(|known| **known != spec.id)
-            .and_then(|known| self.by_id.get(known))
-            .is_some_and(|known| known.spec.stamp > spec.stamp)
+    /// Returns the entries whose service the configuration does not name.
+    pub fn with_unknown_service(&self) -> impl Iterator<Item = &TargetSpec> {
+        self.listings.with_unknown_service()
+    }
+
+    /// Returns the targets that have come into use, without a change of their
+    /// own entries, since the last call.
+    pub fn take_reinstated(&mut self) -> Vec<Name> {
+        std::mem::take(&mut self.reinstated)
     }
 
     /// Records that a target has left the list by the change `removed`, and
     /// removes it.
     pub fn depart(&mut self, now_ms: u64, id: &str, removed: Stamp) {
-        if let Some(target) = self.by_id.get(id) {
-            self.departed.record(now_ms, target.start, removed);
+        let used = self.by_id.get(id).map(|target| target.start);
+        let start = used.or_else(|| self.listings.get(id).map(StartId::of));
+        if let Some(start) = start {
+            self.departed.record(now_ms, start, removed);
         }
         self.remove(id);
     }
 
-    /// Removes a target.
+    /// Removes a target's entry.
     pub fn remove(&mut self, id: &str) {
+        if let Some(spec) = self.listings.remove(id) {
+            self.settle(spec.address, None);
+        }
+    }
+
+    /// Stops using a target.
+    fn retire(&mut self, id: &str) {
         let Some(target) = self.by_id.remove(id) else { return };
         if self.delisted.len() >= MAX_DELISTED {
             self.delisted.clear();
--- a/crates/raildale-core/src/log_event.rs
+++ b/crates/raildale-core/src/log_event.rs
@@ -72,6 +72,7 @@
     Evacuation = 313, Alarm, "an evacuation of a data centre began, ended or was lost by the store";
     TargetCold = 314, Info, "a target is cold and gets only the rate that it bears";
     WatchDeaf = 315, Warn, "a watch of the store missed changes that another connection returned";
+    TargetDisplaced = 316, Warn, "an entry of a target is not used while a later one has its address";
     SpreadJoined = 400, Info, "a version is wanted and its spread was joined";
     SpreadWhole = 401, Info, "every chunk of a version is verified";
     SpreadDropped = 402, Info, "a version is no longer wanted";
--- a/crates/raildale/src/fleet/entry/host/changes.rs
+++ b/crates/raildale/src/fleet/entry/host/changes.rs
@@ -10,6 +10,7 @@
         Target,
         lapse::{Lapse, RELIST_TIMEOUT_MS, StoreView},
         target_end::StartId,
+        targets::listings::Placement,
         versions::{DateChange, ListedVersion, Sighting, told::ToldVersions},
     },
 };
@@ -221,6 +222,8 @@
             gateway.targets.depart(now, &id, stamp);
             self.log(LogEvent::TargetGone, &format!("target={id} lapsed"));
         }
+        drop(gateway);
+        self.handle_reinstated_targets();
     }
 
     fn apply_changes(
@@ -297,13 +300,9 @@
         let services_before = self.service_names();
         let is_new = self.gateway.borrow_mut().set_routing(routing);
         if self.service_names() != services_before {
-            // Adds targets of services that are new in the configuration, and
-            // drops those of services that it no longer names.
-            let targets = self.store_mirror.snapshot(Kind::Targets);
-            targets
-                .objects
-                .iter()
-                .for_each(|object| self.apply_target(object));
+            self.log_unknown_services();
+            self.handle_reinstated_targets();
+            self.handle_ended_targets();
         }
         let event = match is_new {
             true => LogEvent::SettingsInForce,
@@ -331,6 +330,7 @@
         else {
             // The previous content of the entry names no target any more.
             self.gateway.borrow_mut().targets.remove(&object.name);
+            self.handle_reinstated_targets();
             return;
         };
         let start = StartId::of(&spec);
@@ -339,39 +339,70 @@
             self.log(LogEvent::TargetGone, &detail);
             return;
         }
-        if !self.is_configured(&spec.service) {
-            let service = &spec.service;
-            let detail = format!("{}: service={service}", object.name);
-            self.log(unreadable, &detail);
-            self.gateway.borrow_mut().targets.remove(&object.name);
-            return;
-        }
         let detail = format!(
             "target={} address={} draining={} version={:?}",
             spec.id, spec.address, spec.is_draining, spec.serves_version
         );
         let (id, cold_ms) = (spec.id.clone(), spec.cold_ms);
+        let service = spec.service.clone();
         let mut gateway = self.gateway.borrow_mut();
-        gateway.targets.put(spec);
-        let has_turned_cold =
-            gateway.targets.record_cold(now_ms(), &id, cold_ms);
+        let placement = gateway.targets.put(spec);
         drop(gateway);
-        self.log(LogEvent::TargetListed, &detail);
-        if has_turned_cold {
-            self.metrics.add("targets_cold_total", "", 1);
-            let detail = format!("target={id} cold_ms={cold_ms}");
-            self.log(LogEvent::TargetCold, &detail);
+        match placement {
+            Placement::InUse => {
+                self.log(LogEvent::TargetListed, &detail);
+                self.record_cold(&id, cold_ms);
+            }
+            Placement::Displaced => {
+                self.log(LogEvent::TargetDisplaced, &detail);
+            }
+            Placement::UnknownService => {
+                let detail = format!("{id}: service={service}");
+                self.log(unreadable, &detail);
+            }
         }
+        self.handle_reinstated_targets();
         self.handle_ended_targets();
     }
 
-    /// Whether the configuration names a service; true for all while there is
-    /// no configuration. A target of an unknown service could only take the
-    /// address of one that is in use.
-    fn is_configured(&self, service: &str) -> bool {
+    /// Logs the entries of targets whose service the configuration does not
+    /// name.
+    fn log_unknown_services(&self) {
         let gateway = self.gateway.borrow();
-        let routing = gateway.routing();
-        routing.is_none_or(|routing| routing.service(service).is_some())
+        for spec in gateway.targets.with_unknown_service() {
+            let detail = format!("{}: service={}", spec.id, spec.service);
+            self.log(LogEvent::ObjectUnreadable, &detail);
+        }
+    }
+
+    /// Logs the targets that have come into use by a change of the
+    /// configuration, or because another entry no longer has their address.
+    fn handle_reinstated_targets(&self) {
+        let mut gateway = self.gateway.borrow_mut();
+        let reinstated = gateway.targets.take_reinstated();
+        let specs = reinstated.iter().filter_map(|id| {
+            let spec = &gateway.targets.get(id)?.spec;
+            Some((id.clone(), spec.address, spec.cold_ms))
+        });
+        let specs: Vec<_> = specs.collect();
+        drop(gateway);
+        for (id, address, cold_ms) in specs {
+            let detail = format!("target={id} address={address} reinstated");
+            self.log(LogEvent::TargetListed, &detail);
+            self.record_cold(&id, cold_ms);
+        }
+    }
+
+    /// Records for how long a target stays cold.
+    fn record_cold(&self, id: &Name, cold_ms: u64) {
+        let mut gateway = self.gateway.borrow_mut();
+        if !gateway.targets.record_cold(now_ms(), id, cold_ms) {
+            return;
+        }
+        drop(gateway);
+        self.metrics.add("targets_cold_total", "", 1);
+        let detail = format!("target={id} cold_ms={cold_ms}");
+        self.log(LogEvent::TargetCold, &detail);
     }
 
     /// Handles the removal of a target from the list. `is_lost` says that a
@@ -398,11 +429,15 @@
                 let is_from_peer =
                     matches!(source, ChangeSource::EntryHost { .. });
                 target.lapse.get_or_insert(Lapse { at_ms: now, is_from_peer });
+            } else {
+                gateway.targets.remove(name);
             }
         } else {
             let stamp = self.store_mirror.stamp(Kind::Targets);
             gateway.targets.depart(now, name, stamp);
         }
+        drop(gateway);
+        self.handle_reinstated_targets();
         let detail = format!("target={name} doubtful={is_doubtful}");
         self.log(LogEvent::TargetGone, &detail);
     }
--- a/crates/raildale/src/fleet/entry/missed_changes.rs
+++ b/crates/raildale/src/fleet/entry/missed_changes.rs
@@ -44,7 +44,8 @@
             continue;
         }
         let wait_ms = RECOVERY_WAIT_MS;
-        let answer = host.platform.watch(kind, known.revision, wait_ms).await?;
+        let answer =
+            host.platform.watch(kind, known.revision, wait_ms).await?;
         if answer.stamp.era != known.era {
             return Ok(answer);
         }
--- a/crates/raildale/src/fleet/entry/store_watch.rs
+++ b/crates/raildale/src/fleet/entry/store_watch.rs
@@ -134,7 +134,8 @@
                 if kind == Kind::Versions {
                     let mut gateway = host.gateway.borrow_mut();
                     gateway.versions.record_complete(started_ms);
-                    host.store_head.send_replace(host.store_mirror.stamp(kind));
+                    host.store_head
+                        .send_replace(host.store_mirror.stamp(kind));
                 }
             }
             Err(StoreFailure::HistoryGone) => {
