Take a status outside 200 to 599 for no answer

What callers saw: a target's answer with the status 600, 999 or 101, or a 204 with a body, was passed on with the target's seal, and its claim not to have run a request was believed. 000 was not passed on: the HTTP library refuses it.

Cause: heads were judged by their headers; which statuses are answers was left to the library, which takes 100 to 999.

Change: is_answer comes first, for attempts and for hedges; what it turns down is an attempt that failed, of which it is not known whether it ran. An order of an agent whose answer has an unknown status counts as unanswered in place of refused.

--- a/crates/raildale/src/fleet/entry/attempt.rs
+++ b/crates/raildale/src/fleet/entry/attempt.rs
@@ -7,7 +7,7 @@
 use hyper::{
     Response,
     body::{Body, Incoming},
-    header::TRANSFER_ENCODING,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
 use raildale_core::{
     LogEvent, Name,
@@ -100,6 +100,22 @@
     }
 }
 
+/// Returns whether a head is that of a final answer of HTTP: its status is one
+/// of a final answer, and it announces no body where there can be none.
+pub fn is_answer(response: &Response<Incoming>) -> bool {
+    let status = response.status();
+    let headers = response.headers();
+    match status.as_u16() {
+        204 => {
+            let length = headers.get(CONTENT_LENGTH);
+            length.is_none_or(|length| length == "0")
+                && !headers.contains_key(TRANSFER_ENCODING)
+        }
+        200..=599 => true,
+        _ => false,
+    }
+}
+
 /// Returns whether an answer has neither a length nor chunks.
 fn is_unframed(response: &Response<Incoming>) -> bool {
     let has_length = response.body().size_hint().exact().is_some();
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -22,7 +22,7 @@
 use super::{
     EntryHost,
     answer_memory::ReadFailure,
-    attempt::{Attempt, Cause, Opened},
+    attempt::{Attempt, Cause, Opened, is_answer},
     callers::{self, RequestGuard},
     heads,
     hedge::{HedgeOutcome, PendingAttempt, Progress, Takeover},
@@ -381,6 +381,9 @@
         let id = self.head.id.clone();
         move |(sent, _)| {
             let Ok(response) = sent else { return false };
+            if !is_answer(response) {
+                return false;
+            }
             let (parts, ()) = response_head(response);
             let head = host.platform.answer_head(&parts, &id);
             let counts =
@@ -418,6 +421,11 @@
     /// Returns the outcome of the attempt if its head is rejected; `None` if
     /// it is valid.
     fn head_rejection(&self, opened: &Opened<P>) -> Option<Outcome> {
+        // Bytes that are no answer say nothing, also not that the request was
+        // not run.
+        if !is_answer(&opened.response) {
+            return Some(Outcome::Broken);
+        }
         let (parts, ()) = response_head(&opened.response);
         let head = self.host.platform.answer_head(&parts, &self.head.id);
         if head.is_for_this_attempt && !head.is_misdirected {
