Answer every request before a planned exit, and pass on none that outlasts it

What callers saw: requests that a leaving entry host had passed on, before SIGTERM or up to 3 s after it, were cut without an answer when it exited 7.5 s after the signal, among them some that may not be repeated.

Cause: what is taken was decided by the time of arrival alone. Nothing compared a request's deadline with the exit, and nothing answered what was still in progress.

Change: before each attempt a leaving entry host compares the exit with the request's deadline, or with the usual run if it may be repeated, and refuses it as not run. 0.2 s before the exit all others get 504.

--- a/crates/raildale-core/src/gateway/request.rs
+++ b/crates/raildale-core/src/gateway/request.rs
@@ -5,7 +5,7 @@
 use super::{
     fingerprint::Fingerprints,
     ranks::Rank,
-    routes::{Organisation, Route, RouteKind, Service},
+    routes::{EngineSpec, Organisation, Route, RouteKind, Service},
     target_end::StartId,
 };
 use crate::{Code, Name};
@@ -137,6 +137,19 @@
         self.due_ms + ANSWER_MARGIN_MS
     }
 
+    /// Returns for how long the request may be in progress at a target that
+    /// gets it now, in milliseconds. One that may be repeated usually ends
+    /// before its deadline, and may be sent again.
+    pub fn needed_ms(&self, now_ms: u64) -> u64 {
+        let left_ms = self.due_ms.saturating_sub(now_ms);
+        let engine = self.service.engine.as_ref();
+        let usual_ms = engine.map_or(0.0, EngineSpec::usual_run_ms) as u64;
+        match self.route.may_repeat() {
+            true => left_ms.min(usual_ms),
+            false => left_ms,
+        }
+    }
+
     /// Returns whether the request may be sent to another target after one has
     /// answered with a server error.
     pub fn may_ask_another(&self) -> bool {
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -28,7 +28,7 @@
     LogEvent, Name,
     catalog::{Kind, Stamp},
     gateway::{
-        Fingerprint, Gateway, GatewayConfig, Service,
+        Admission, Fingerprint, Gateway, GatewayConfig, Service,
         evacuations::Evacuations, retry_budget::RetryBound, routes::Limits,
     },
     members::{MemberEntry, Members, joining::Joining, sources::Sources},
@@ -78,6 +78,9 @@
     /// Set once callers' connections must close as soon as the answers in
     /// progress are written; each connection subscribes to it.
     pub closing: watch::Sender<bool>,
+    /// Set once requests in progress must be answered because the process is
+    /// about to exit.
+    pub final_answers: watch::Sender<bool>,
     /// When it was told to stop, in milliseconds of the steady clock; `None`
     /// before that.
     pub leaving_since_ms: Cell<Option<u64>>,
@@ -156,6 +159,10 @@
 /// hosts by then.
 const NO_NEW_REQUESTS_MS: u64 = 5_000;
 
+/// How long before the planned exit requests without an answer get one, in
+/// milliseconds: time to write it.
+const FINAL_ANSWER_MARGIN_MS: u64 = 200;
+
 /// The minimum time that a leaving entry host stays, in milliseconds: callers
 /// cache its address for a while.
 const MIN_LEAVE_MS: u64 = 4_500;
@@ -205,6 +212,7 @@
             pauses: Pauses::default(),
             in_progress: Cell::new(0),
             closing: watch::Sender::new(false),
+            final_answers: watch::Sender::new(false),
             leaving_since_ms: Cell::new(None),
             address_ttl_s: ADDRESS_TTL_S.min(bounds.ttl_max_s),
             briefing_due: tokio::sync::Notify::new(),
@@ -405,6 +413,23 @@
             .is_some_and(|since_ms| now_ms() > since_ms + stays_ms)
     }
 
+    /// Whether a request that is passed on now can be answered before this
+    /// process exits.
+    pub fn can_finish(&self, request: &Admission) -> bool {
+        let now = now_ms();
+        let end_ms = now + request.needed_ms(now);
+        self.leaving_since_ms
+            .get()
+            .is_none_or(|since_ms| end_ms <= since_ms + self.stay_ms())
+    }
+
+    /// Returns the time from the signal to stop until requests without an
+    /// answer get one, in milliseconds.
+    fn stay_ms(&self) -> u64 {
+        let margin_ms = EXIT_MARGIN_MS + FINAL_ANSWER_MARGIN_MS;
+        self.grace_ms.saturating_sub(margin_ms)
+    }
+
     /// Returns the address at which callers reach the entry host at `ip`: all
     /// listen on the same port.
     pub fn callers_address(&self, ip: IpAddr) -> SocketAddr {
@@ -424,6 +449,8 @@
         if let Err(failure) = deleted {
             log::debug!("deleting the own entry: {failure:?}");
         }
+        self.wait_until_idle(start_ms, start_ms + self.stay_ms()).await;
+        self.final_answers.send_replace(true);
         let end_ms = start_ms + self.grace_ms.saturating_sub(EXIT_MARGIN_MS);
         self.wait_until_idle(start_ms, end_ms).await;
         self.end_connections(end_ms).await;
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -82,6 +82,14 @@
 /// is not known yet, in milliseconds.
 const DEFAULT_DEADLINE_MS: u64 = 1_500;
 
+/// What a caller gets.
+enum Answer<P: Dialect + Store + 'static> {
+    /// A whole answer.
+    Whole(Response<AnswerBody>),
+    /// A stream that a target has begun.
+    Stream(Box<Opened<P>>),
+}
+
 /// Handles a caller's request and returns its answer.
 pub async fn answer<P>(
     host: Rc<EntryHost<P>>,
@@ -173,29 +181,56 @@
 
 impl<P: Dialect + Store + 'static> Exchange<P> {
     async fn run(mut self) -> Response<AnswerBody> {
+        let mut final_answers = self.host.final_answers.subscribe();
+        let result = tokio::select! {
+            biased;
+            result = self.open_or_read() => result,
+            _ = final_answers.wait_for(|are_due| *are_due) => {
+                return self.answer_unfinished();
+            }
+        };
+        match result {
+            Answer::Whole(response) => response,
+            Answer::Stream(opened) => stream_body::answer(self, *opened),
+        }
+    }
+
+    /// Sends the request until a target has answered whole or has begun a
+    /// stream, or the request is given up.
+    async fn open_or_read(&mut self) -> Answer<P> {
         // A server error of a target, returned if no other target does better.
         let mut failed = None;
         loop {
             let opened = match self.open(None).await {
                 Ok(opened) => opened,
                 Err(refusal) => {
-                    return failed.unwrap_or_else(|| self.refuse(refusal));
+                    let response =
+                        failed.unwrap_or_else(|| self.refuse(refusal));
+                    return Answer::Whole(response);
                 }
             };
             let status = opened.response.status();
             if opened.is_event_stream && status.is_success() {
-                return stream_body::answer(self, opened);
+                return Answer::Stream(Box::new(opened));
             }
             let Some(response) = self.read_whole(opened).await else {
                 continue;
             };
             if !status.is_server_error() || !self.request.may_ask_another() {
-                return response;
+                return Answer::Whole(response);
             }
             failed = Some(response);
         }
     }
 
+    /// Returns the answer to a request that is in progress while this process
+    /// is about to exit.
+    fn answer_unfinished(&mut self) -> Response<AnswerBody> {
+        // Its target may still run it.
+        self.request.may_have_run |= !self.request.tried.is_empty();
+        self.refuse(self.leaving_refusal())
+    }
+
     /// Sends the request until a target answers with a valid head.
     ///
     /// # Errors
@@ -229,6 +264,9 @@
     async fn next_dispatch(&mut self) -> Result<Dispatch, Refusal> {
         let since_ms = now_ms();
         loop {
+            if self.must_refuse_waiting() {
+                return Err(self.leaving_refusal());
+            }
             let next = self.host.gateway.borrow_mut().next(
                 now_ms(),
                 &mut self.request,
@@ -238,9 +276,6 @@
             match next {
                 Next::Send(dispatch) => return Ok(dispatch),
                 Next::Refuse(refusal) => return Err(refusal),
-                Next::Wait(_) if self.must_refuse_waiting() => {
-                    return Err(self.leaving_refusal());
-                }
                 Next::Wait(ms) => {
                     tokio::time::sleep(Duration::from_millis(ms)).await;
                 }
@@ -248,11 +283,13 @@
         }
     }
 
-    /// Whether the wait for a target must end because this process is about to
-    /// exit. A stream that has begun gains nothing from a refusal.
+    /// Whether the request must not be passed on because this process exits
+    /// too soon. A stream that has begun gains nothing from a refusal.
     fn must_refuse_waiting(&self) -> bool {
         let has_begun = self.request.last_event_ms.is_some();
-        self.host.refuses_waiting_requests() && !has_begun
+        let is_late = self.host.refuses_waiting_requests()
+            || !self.host.can_finish(&self.request);
+        is_late && !has_begun
     }
 
     /// Returns the refusal of a request that waits while this process shuts
