Keep long entries and long changes from stopping whoever reads the list

What callers saw: beside six entries of 900 KB by another writer a configuration was in force after 4.0 s, and 0 slots, port 0 or 0.0.0.0 in an entry were taken for a target's. Deep nesting, numbers out of range and ports beyond 65535, as reported from other systems, cost that entry alone already.

A watch whose answer was too long was repeated until the history was gone, and neighbours refused the list.

Change: entries above 16 KiB are kept without bodies, a watch whose answer is too long is followed by a list, and an entry that no target can have is not used.

--- a/crates/raildale-core/src/catalog/mod.rs
+++ b/crates/raildale-core/src/catalog/mod.rs
@@ -11,6 +11,9 @@
 pub use self::mirror::Mirror;
 use crate::Name;
 
+/// The maximum size of an entry of a list, in bytes.
+const MAX_ENTRY_BYTES: usize = 16 << 10;
+
 /// The kinds of object that the system reads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Kind {
@@ -40,6 +43,20 @@
         Kind::Evacuations,
     ];
 
+    /// Returns the maximum size of an object's body, in bytes. Others than the
+    /// platform write some kinds too; an object that is larger than any in use
+    /// must not fill the memory and the links of all.
+    fn max_body_bytes(self) -> usize {
+        match self {
+            Kind::Configuration => usize::MAX,
+            Kind::Targets
+            | Kind::Versions
+            | Kind::EntryHosts
+            | Kind::Quarantine
+            | Kind::Evacuations => MAX_ENTRY_BYTES,
+        }
+    }
+
     /// Returns the kinds in use, in the order of their numbers.
     pub fn in_use(has_evacuations: bool) -> &'static [Kind] {
         let count = Kind::ALL.len() - usize::from(!has_evacuations);
@@ -130,6 +147,17 @@
     pub body: Bytes,
 }
 
+impl StoredObject {
+    /// Returns the object of a kind without its body if that is too large, so
+    /// that it does not decode.
+    pub fn bounded(self, kind: Kind) -> StoredObject {
+        match self.body.len() > kind.max_body_bytes() {
+            true => StoredObject { body: Bytes::new(), ..self },
+            false => self,
+        }
+    }
+}
+
 /// All objects of a kind at one point in time.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Snapshot {
@@ -139,6 +167,15 @@
     pub objects: Vec<StoredObject>,
 }
 
+impl Snapshot {
+    /// Returns the snapshot of a kind with bounded objects.
+    pub fn bounded(self, kind: Kind) -> Snapshot {
+        let objects = self.objects.into_iter();
+        let objects = objects.map(|object| object.bounded(kind));
+        Snapshot { stamp: self.stamp, objects: objects.collect() }
+    }
+}
+
 /// A change of an object.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -150,3 +187,13 @@
     /// it is gone, or will be written again.
     Lost(Name),
 }
+
+impl Change {
+    /// Returns the change of a kind with a bounded object.
+    pub fn bounded(self, kind: Kind) -> Change {
+        match self {
+            Change::Put(object) => Change::Put(object.bounded(kind)),
+            Change::Deleted(_) | Change::Lost(_) => self,
+        }
+    }
+}
--- a/crates/raildale-core/src/gateway/cold.rs
+++ b/crates/raildale-core/src/gateway/cold.rs
@@ -35,7 +35,7 @@
         let was_cold = now_ms < self.until_ms;
         let is_cold = cold_ms > 0;
         if is_cold || was_cold {
-            self.until_ms = now_ms + cold_ms;
+            self.until_ms = now_ms.saturating_add(cold_ms);
         }
         is_cold && !was_cold
     }
@@ -48,7 +48,7 @@
         cold_rate_per_s: f64,
     ) -> Option<f64> {
         let is_limited = cold_rate_per_s > 0.0 && self.until_ms > 0;
-        if !is_limited || now_ms >= self.until_ms + RAMP_MS {
+        if !is_limited || now_ms >= self.until_ms.saturating_add(RAMP_MS) {
             return None;
         }
         let factor = if now_ms < self.until_ms { 1.0 } else { 2.0 };
--- a/crates/raildale-core/src/gateway/target.rs
+++ b/crates/raildale-core/src/gateway/target.rs
@@ -37,6 +37,22 @@
     pub stamp: Stamp,
 }
 
+/// The maximum number of slots of a target: each request takes a connection,
+/// and there are as many ports.
+const MAX_SLOTS: u32 = 65_536;
+
+impl TargetSpec {
+    /// Returns whether a target can be as its entry says. Others than targets
+    /// write entries too.
+    pub fn is_valid(&self) -> bool {
+        let ip = self.address.ip();
+        self.address.port() > 0
+            && !ip.is_unspecified()
+            && !ip.is_multicast()
+            && (1..=MAX_SLOTS).contains(&self.slots)
+    }
+}
+
 /// A report on a target by the agent beside it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct TargetReport {
--- a/crates/raildale-core/src/gateway/targets/listings.rs
+++ b/crates/raildale-core/src/gateway/targets/listings.rs
@@ -2,7 +2,7 @@
 //!
 //! Several entries may have one address: those of a target that crashed and of
 //! the one that started after it, or of other writers. At each address the
-//! latest entry is used whose service the configuration names. The others stay
+//! latest valid entry is used whose service the configuration names. The others stay
 //! here, so that the order in which entries and configurations arrive makes no
 //! difference, and an entry is used again once the one before it goes.
 
@@ -22,6 +22,8 @@
     Displaced,
     /// The configuration does not name its service.
     UnknownService,
+    /// It names no address or number of slots that a target can have.
+    Invalid,
 }
 
 /// The entries of the list of targets.
@@ -78,13 +80,17 @@
     pub(super) fn used_at(&self, address: SocketAddr) -> Option<&TargetSpec> {
         let ids = self.by_address.get(&address)?;
         let entries = ids.iter().filter_map(|id| self.by_id.get(id));
-        let usable = entries.filter(|spec| self.is_known_service(spec));
+        let valid = entries.filter(|spec| spec.is_valid());
+        let usable = valid.filter(|spec| self.is_known_service(spec));
         usable.max_by(|a, b| (a.stamp, &a.id).cmp(&(b.stamp, &b.id)))
     }
 
     /// Returns what became of an entry.
     pub(super) fn placement(&self, id: &str) -> Option<Placement> {
         let spec = self.by_id.get(id)?;
+        if !spec.is_valid() {
+            return Some(Placement::Invalid);
+        }
         if !self.is_known_service(spec) {
             return Some(Placement::UnknownService);
         }
--- a/crates/raildale-testkit/src/caller.rs
+++ b/crates/raildale-testkit/src/caller.rs
@@ -291,7 +291,10 @@
                         PostError::NotSent
                     }
                     raildale::http_client::Failure::Lost
-                    | raildale::http_client::Failure::Late => PostError::Lost,
+                    | raildale::http_client::Failure::Late
+                    | raildale::http_client::Failure::TooLong => {
+                        PostError::Lost
+                    }
                 },
             )?;
         if response.status() == 307 {
--- a/crates/raildale/src/fleet/edge.rs
+++ b/crates/raildale/src/fleet/edge.rs
@@ -40,6 +40,8 @@
     Lost,
     /// No answer arrived in time.
     Silent,
+    /// The answer is longer than it may be. The same call would get the same.
+    TooLong,
 }
 
 /// The changes of a kind since an earlier stamp.
--- a/crates/raildale/src/fleet/entry/host/changes.rs
+++ b/crates/raildale/src/fleet/entry/host/changes.rs
@@ -178,7 +178,9 @@
     ) {
         let mut failed = self.failed_reads.borrow_mut();
         match failure {
-            Some(StoreFailure::HistoryGone) | None => failed.remove(&kind),
+            None | Some(StoreFailure::HistoryGone | StoreFailure::TooLong) => {
+                failed.remove(&kind)
+            }
             Some(_) => failed.insert(kind),
         };
     }
@@ -360,6 +362,9 @@
                 let detail = format!("{id}: service={service}");
                 self.log(unreadable, &detail);
             }
+            Placement::Invalid => {
+                self.log(unreadable, &format!("{id}: {detail}"));
+            }
         }
         self.handle_reinstated_targets();
         self.handle_ended_targets();
--- a/crates/raildale/src/fleet/entry/host/store_mirror.rs
+++ b/crates/raildale/src/fleet/entry/host/store_mirror.rs
@@ -59,6 +59,7 @@
         source_extent: Extent,
         progress: impl Fn(&StoredObject) -> Option<Progress>,
     ) -> Vec<Change> {
+        let snapshot = snapshot.bounded(kind);
         let newest = snapshot.objects.iter().map(|o| o.stamp).max();
         let newest = newest.max(Some(source_extent.changed));
         let oldest_era = source_extent.oldest_era.min(snapshot.stamp.era);
@@ -76,6 +77,8 @@
         changes: Vec<Change>,
         progress: impl Fn(&StoredObject) -> Option<Progress>,
     ) -> Vec<Change> {
+        let changes = changes.into_iter().map(|c| c.bounded(kind));
+        let changes: Vec<Change> = changes.collect();
         // A deletion does not carry its own stamp; it happened by the
         // answer's.
         let newest = changes
--- a/crates/raildale/src/fleet/entry/store_watch.rs
+++ b/crates/raildale/src/fleet/entry/store_watch.rs
@@ -138,7 +138,8 @@
                         .send_replace(host.store_mirror.stamp(kind));
                 }
             }
-            Err(StoreFailure::HistoryGone) => {
+            // Changes that are too long for one answer come in pages.
+            Err(StoreFailure::HistoryGone | StoreFailure::TooLong) => {
                 host.metrics.add("store_history_gone_total", "", 1);
                 must_list = true;
                 history_losses += 1;
@@ -180,7 +181,7 @@
         StoreFailure::Silent | StoreFailure::Lost | StoreFailure::Busy => {
             failures >= FAILURES_OF_OUTAGE
         }
-        StoreFailure::HistoryGone => false,
+        StoreFailure::HistoryGone | StoreFailure::TooLong => false,
     }
 }
 
--- a/crates/raildale/src/http_client.rs
+++ b/crates/raildale/src/http_client.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, body::Incoming,
 };
@@ -29,6 +29,8 @@
     Lost,
     /// No complete answer arrived before the time-out.
     Late,
+    /// The answer is longer than it may be.
+    TooLong,
 }
 
 /// An HTTP client with a connection pool.
@@ -99,8 +101,8 @@
     ///
     /// # Errors
     ///
-    /// A [`Failure`]: an answer that is too long is [`Failure::Lost`], one
-    /// that takes longer than `timeout` is [`Failure::Late`].
+    /// A [`Failure`]; an answer that takes longer than `timeout` is
+    /// [`Failure::Late`].
     pub async fn call(
         &self,
         method: Method,
@@ -136,7 +138,10 @@
             let body = Limited::new(body, max_bytes)
                 .collect()
                 .await
-                .map_err(|_| Failure::Lost)?
+                .map_err(|error| match error.is::<LengthLimitError>() {
+                    true => Failure::TooLong,
+                    false => Failure::Lost,
+                })?
                 .to_bytes();
             let (status, headers) = (head.status, head.headers);
             Ok(Answer { status, headers, body })
--- a/crates/raildale/src/target.rs
+++ b/crates/raildale/src/target.rs
@@ -164,7 +164,9 @@
         let response = match self.http.open(request).await {
             Ok(response) => response,
             Err(Failure::NotSent) => return Code::TargetRefused,
-            Err(Failure::Lost | Failure::Late) => return Code::Unknown,
+            Err(Failure::Lost | Failure::Late | Failure::TooLong) => {
+                return Code::Unknown;
+            }
         };
         if response.status() != StatusCode::OK {
             let not_started = response.headers().contains_key(NOT_STARTED);
