Bound what all answers in progress hold together

What callers saw: nothing yet; with 700 answers that targets begin and hold an entry host used 210 MiB (heads) and 183 MiB (bodies), and 20 of 700 callers of streams had no end 4 s past their deadlines.

Cause: the HTTP library reads up to 400 KiB ahead on each connection, and small answers and events had no bound on their sum. A hedge waited for its first event without a deadline.

Change: 16 KiB are read ahead, answers above 8 KiB and events above 8 KiB reserve memory from common limits, and a race ends at the first attempt's deadline.

--- a/crates/raildale-core/src/gateway/event_stream.rs
+++ b/crates/raildale-core/src/gateway/event_stream.rs
@@ -4,7 +4,7 @@
 
 /// The maximum size of an incomplete event, in bytes. A target that fails may
 /// send bytes without any end of an event.
-const MAX_EVENT_BYTES: usize = 256 << 10;
+pub const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// Splits a stream's bytes at the ends of events.
 ///
@@ -48,6 +48,11 @@
         !self.pending.is_empty()
     }
 
+    /// Returns the number of buffered bytes of an incomplete event.
+    pub fn partial_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Returns whether the incomplete event is too long to be buffered further.
     pub fn is_oversized(&self) -> bool {
         self.pending.len() > MAX_EVENT_BYTES
--- a/crates/raildale-core/src/gateway/mod.rs
+++ b/crates/raildale-core/src/gateway/mod.rs
@@ -53,7 +53,7 @@
 
 pub use self::{
     admission::{Gateway, GatewayConfig},
-    event_stream::EventSplitter,
+    event_stream::{EventSplitter, MAX_EVENT_BYTES},
     fingerprint::{Fingerprint, Fingerprints},
     notices::{NoticeChange, TargetNotice},
     request::{Admission, Refusal, RequestHead},
--- a/crates/raildale/src/fleet/entry/answer_memory.rs
+++ b/crates/raildale/src/fleet/entry/answer_memory.rs
@@ -1,22 +1,35 @@
-//! Reads answers that are passed on whole, within a common limit of memory.
+//! The memory for answers that are being read, within common limits.
 //!
-//! A target that fails may send bytes without end, in several answers at once.
+//! A target that fails may send bytes without end, or hold answers that have
+//! begun, in thousands of answers at once. Each may use a little memory. One
+//! that needs more waits until there is enough to read it to its end, so that
+//! answers that wait hold up no others for ever.
+
+use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use tokio::sync::{Semaphore, SemaphorePermit};
+use raildale_core::gateway::MAX_EVENT_BYTES;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, SemaphorePermit};
 
 /// The maximum size of an answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
-/// The size up to which an answer is read at once, in bytes. Larger ones wait
-/// until there is memory for the largest answer.
-const SMALL_ANSWER_BYTES: usize = 64 << 10;
+/// The size up to which an answer or an incomplete event needs no reservation,
+/// in bytes.
+pub const SMALL_BYTES: usize = 8 << 10;
+
+/// The size up to which an answer needs no reservation of a large one, in
+/// bytes.
+const MEDIUM_BYTES: usize = 64 << 10;
+
+/// The memory for medium answers, in bytes.
+const ALL_MEDIUM_BYTES: usize = 16 << 20;
 
-/// The memory for large answers, in bytes: a quarter of that of the smallest
-/// machines.
-const LARGE_ANSWERS_BYTES: usize = 32 << 20;
+/// The memory for large answers and events, in bytes: a quarter of that of the
+/// smallest machines.
+const ALL_LARGE_BYTES: usize = 32 << 20;
 
 /// Why an answer was not read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,22 +40,26 @@
     Oversized,
 }
 
-/// The memory for large answers that are being read.
+/// The memory for answers that are being read.
 #[derive(Debug)]
-pub struct LargeAnswers {
-    free_bytes: Semaphore,
+pub struct AnswerMemory {
+    medium_bytes: Semaphore,
+    large_bytes: Arc<Semaphore>,
 }
 
-impl Default for LargeAnswers {
-    fn default() -> LargeAnswers {
-        LargeAnswers { free_bytes: Semaphore::new(LARGE_ANSWERS_BYTES) }
+impl Default for AnswerMemory {
+    fn default() -> AnswerMemory {
+        AnswerMemory {
+            medium_bytes: Semaphore::new(ALL_MEDIUM_BYTES),
+            large_bytes: Arc::new(Semaphore::new(ALL_LARGE_BYTES)),
+        }
     }
 }
 
-impl LargeAnswers {
+impl AnswerMemory {
     /// Creates it with all memory free.
-    pub fn new() -> LargeAnswers {
-        LargeAnswers::default()
+    pub fn new() -> AnswerMemory {
+        AnswerMemory::default()
     }
 
     /// Reads a body to its end.
@@ -55,7 +72,8 @@
         mut body: Incoming,
     ) -> Result<Bytes, ReadFailure> {
         let mut read = BytesMut::new();
-        let mut reserved = None;
+        let mut medium = None;
+        let mut large = None;
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| ReadFailure::Broken)?;
             let Ok(data) = frame.into_data() else { continue };
@@ -63,17 +81,34 @@
             if length > MAX_ANSWER_BYTES {
                 return Err(ReadFailure::Oversized);
             }
-            if length > SMALL_ANSWER_BYTES && reserved.is_none() {
-                reserved = Some(self.reserve(&body, length).await?);
+            if length > SMALL_BYTES && medium.is_none() {
+                medium = Some(self.reserve_medium().await?);
+            }
+            if length > MEDIUM_BYTES && large.is_none() {
+                large = Some(self.reserve_large(&body, length).await?);
             }
             read.extend_from_slice(&data);
         }
         Ok(read.freeze())
     }
 
+    /// Reserves the memory for an event that is larger than [`SMALL_BYTES`].
+    /// Returns `None` if the process is ending.
+    pub async fn reserve_event(&self) -> Option<OwnedSemaphorePermit> {
+        let large_bytes = self.large_bytes.clone();
+        large_bytes.acquire_many_owned(MAX_EVENT_BYTES as u32).await.ok()
+    }
+
+    async fn reserve_medium(
+        &self,
+    ) -> Result<SemaphorePermit<'_>, ReadFailure> {
+        let permit = self.medium_bytes.acquire_many(MEDIUM_BYTES as u32).await;
+        permit.map_err(|_| ReadFailure::Broken)
+    }
+
     /// Reserves the memory for all of an answer of which `length` bytes have
-    /// arrived, so that it can always be read to its end.
-    async fn reserve(
+    /// arrived.
+    async fn reserve_large(
         &self,
         body: &Incoming,
         length: usize,
@@ -88,7 +123,7 @@
         };
         // At most [`MAX_ANSWER_BYTES`].
         let bytes = (length + left) as u32;
-        let permit = self.free_bytes.acquire_many(bytes).await;
+        let permit = self.large_bytes.acquire_many(bytes).await;
         permit.map_err(|_| ReadFailure::Broken)
     }
 }
--- a/crates/raildale/src/fleet/entry/attempt.rs
+++ b/crates/raildale/src/fleet/entry/attempt.rs
@@ -17,7 +17,7 @@
     },
 };
 
-use super::{EntryHost, upstream::Connection};
+use super::{EntryHost, answer_memory::SMALL_BYTES, upstream::Connection};
 use crate::fleet::{
     edge::{Dialect, Store},
     steady_clock::now_ms,
@@ -83,6 +83,7 @@
     /// the event is too long.
     pub async fn read_first_event(&mut self) -> bool {
         let mut splitter = EventSplitter::new();
+        let mut reserved = None;
         loop {
             let data = match self.response.body_mut().frame().await {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
@@ -96,6 +97,10 @@
             if splitter.is_oversized() {
                 return false;
             }
+            if splitter.partial_bytes() > SMALL_BYTES && reserved.is_none() {
+                let memory = &self.attempt.host.answer_memory;
+                reserved = memory.reserve_event().await;
+            }
         }
     }
 }
--- a/crates/raildale/src/fleet/entry/hedge.rs
+++ b/crates/raildale/src/fleet/entry/hedge.rs
@@ -122,7 +122,8 @@
         }
     }
 
-    /// Sends the request to another target while the first attempt continues.
+    /// Sends the request to another target while the first attempt continues,
+    /// until the deadline of the first.
     async fn race<F: Future>(
         &mut self,
         pending: PendingAttempt<'_>,
@@ -133,6 +134,9 @@
         let over =
             version_too_old(self.host.clone(), self.request.clone(), pending);
         let mut over = std::pin::pin!(over);
+        let left_ms = self.deadline_ms(pending).saturating_sub(now_ms());
+        let deadline = tokio::time::sleep(Duration::from_millis(left_ms));
+        let mut deadline = std::pin::pin!(deadline);
         // Boxed because the other attempt may be hedged in turn.
         let mut opening: Pin<Box<dyn Future<Output = _> + '_>> =
             Box::pin(self.open_until_begun(pending.resume_after));
@@ -152,6 +156,7 @@
                     break RaceOutcome::of(second, failed);
                 }
                 () = &mut over => break RaceOutcome::of(None, failed),
+                () = &mut deadline => break RaceOutcome::of(None, failed),
             }
         };
         drop(opening);
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -38,7 +38,7 @@
 use self::store_mirror::StoreMirror;
 pub use self::suspects::unix_ms;
 use super::{
-    answer_memory::LargeAnswers, delays::Pauses, snapshots::PackedSnapshots,
+    answer_memory::AnswerMemory, delays::Pauses, snapshots::PackedSnapshots,
     upstream::Pool,
 };
 use crate::{
@@ -68,7 +68,7 @@
     /// Kept connections to targets.
     pub pool: Pool,
     /// The memory for answers that are read whole.
-    pub large_answers: LargeAnswers,
+    pub answer_memory: AnswerMemory,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// The times in which this process did not run.
@@ -207,7 +207,7 @@
             gateway: RefCell::new(gateway),
             members: RefCell::new(Members::new(own)),
             pool: Pool::new(),
-            large_answers: LargeAnswers::new(),
+            answer_memory: AnswerMemory::new(),
             metrics: Metrics::new(),
             pauses: Pauses::default(),
             in_progress: Cell::new(0),
--- a/crates/raildale/src/fleet/entry/proxy.rs
+++ b/crates/raildale/src/fleet/entry/proxy.rs
@@ -489,7 +489,7 @@
         let Opened { response, mut attempt, is_unframed, .. } = opened;
         let (parts, body) = response.into_parts();
         let remaining_ms = self.request.due_ms.saturating_sub(now_ms()).max(1);
-        let reading = self.host.large_answers.read(body);
+        let reading = self.host.answer_memory.read(body);
         let remaining = Duration::from_millis(remaining_ms);
         let read = match tokio::time::timeout(remaining, reading).await {
             Ok(Ok(_)) if is_unframed && !attempt.is_target_alive().await => {
--- a/crates/raildale/src/fleet/entry/stream_body.rs
+++ b/crates/raildale/src/fleet/entry/stream_body.rs
@@ -3,6 +3,8 @@
 //! Only whole events are passed on, as they arrive. A stream that breaks off
 //! is resumed at another target after the last event that was passed on.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
@@ -14,8 +16,10 @@
     Code, LogEvent,
     gateway::{EventSplitter, Outcome},
 };
+use tokio::sync::OwnedSemaphorePermit;
 
 use super::{
+    answer_memory::SMALL_BYTES,
     attempt::{Attempt, Cause, Opened},
     hedge::{HedgeOutcome, PendingAttempt, Progress, Takeover},
     proxy::{AnswerBody, BodyFailure, Exchange},
@@ -43,6 +47,7 @@
         attempt: opened.attempt,
         buffered: opened.buffered.freeze(),
         splitter: EventSplitter::new(),
+        event_memory: None,
         event_times: EventTimes::default(),
         is_over: false,
     };
@@ -66,6 +71,8 @@
     /// The part of the body that was read and not yet passed on.
     buffered: Bytes,
     splitter: EventSplitter,
+    /// The memory for an incomplete event that is not small.
+    event_memory: Option<OwnedSemaphorePermit>,
     event_times: EventTimes,
     is_over: bool,
 }
@@ -105,14 +112,18 @@
             match self.next_input().await {
                 StreamInput::Data(data) => {
                     if let Some(whole) = self.splitter.push(data) {
+                        self.event_memory = None;
                         let request = &mut self.exchange.request;
                         self.attempt.record_begun(request);
                         self.event_times.record_event(now_ms());
                         return Some(Ok(whole));
                     }
-                    if self.splitter.is_oversized()
-                        && let Some(failure) =
-                            self.resume(Cause::Oversized).await
+                    let cause = match self.splitter.is_oversized() {
+                        true => Some(Cause::Oversized),
+                        false => self.reserve_event().await,
+                    };
+                    if let Some(cause) = cause
+                        && let Some(failure) = self.resume(cause).await
                     {
                         return Some(Err(failure));
                     }
@@ -134,6 +145,26 @@
         }
     }
 
+    /// Waits for the memory for an incomplete event that is not small. Returns
+    /// why the stream must end if there is none in time.
+    async fn reserve_event(&mut self) -> Option<Cause> {
+        let needs_memory = self.splitter.partial_bytes() > SMALL_BYTES
+            && self.event_memory.is_none();
+        if !needs_memory {
+            return None;
+        }
+        let due_ms = self.exchange.request.answer_due_ms();
+        let left = Duration::from_millis(due_ms.saturating_sub(now_ms()));
+        let reserving = self.exchange.host.answer_memory.reserve_event();
+        match tokio::time::timeout(left, reserving).await {
+            Ok(reserved) => {
+                self.event_memory = reserved;
+                None
+            }
+            Err(_) => Some(Cause::Deadline),
+        }
+    }
+
     /// Returns why a body that has ended is incomplete; `None` if it is
     /// complete.
     async fn cut_cause(&self) -> Option<Cause> {
@@ -228,6 +259,7 @@
 
     fn continue_with(&mut self, from: &str, opened: Opened<P>) {
         self.splitter.discard_partial();
+        self.event_memory = None;
         self.is_unframed = opened.is_unframed;
         self.body = opened.response.into_body();
         self.attempt = opened.attempt;
--- a/crates/raildale/src/fleet/entry/upstream.rs
+++ b/crates/raildale/src/fleet/entry/upstream.rs
@@ -29,6 +29,11 @@
 /// The maximum number of kept connections to one target.
 const MAX_IDLE_CONNECTIONS: usize = 24;
 
+/// The maximum number of bytes of a connection that are read ahead, and so the
+/// maximum size of an answer's head. There are thousands of connections, and a
+/// target that fails may send bytes without end on each.
+const MAX_BUFFERED_BYTES: usize = 16 << 10;
+
 /// The timeout of a health check. A target that has just started has free
 /// slots and answers at once.
 const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
@@ -188,7 +193,9 @@
                 _ => SendFailure::NotSent,
             },
         )?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFERED_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|_| SendFailure::NotSent)?;
         let task = tokio::task::spawn_local(async move {
