--- a/crates/raildale-core/src/gateway/targets/listings.rs
+++ b/crates/raildale-core/src/gateway/targets/listings.rs
@@ -2,9 +2,10 @@
 //!
 //! Several entries may have one address: those of a target that crashed and of
 //! the one that started after it, or of other writers. At each address the
-//! latest valid entry is used whose service the configuration names. The others stay
-//! here, so that the order in which entries and configurations arrive makes no
-//! difference, and an entry is used again once the one before it goes.
+//! latest valid entry is used whose service the configuration names. The
+//! others stay here, so that the order in which entries and configurations
+//! arrive makes no difference, and an entry is used again once a later one
+//! with its address goes.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/crates/raildale/src/fleet/entry/answer_memory.rs
+++ b/crates/raildale/src/fleet/entry/answer_memory.rs
@@ -3,7 +3,7 @@
 //! A target that fails may send bytes without end, or hold answers that have
 //! begun, in thousands of answers at once. Each may use a little memory. One
 //! that needs more waits until there is enough to read it to its end, so that
-//! answers that wait hold up no others for ever.
+//! answers with a part of their memory never wait for one another.
 
 use std::sync::Arc;
 
--- a/crates/raildale/src/fleet/entry/host/mod.rs
+++ b/crates/raildale/src/fleet/entry/host/mod.rs
@@ -67,7 +67,7 @@
     pub members: RefCell<Members>,
     /// Kept connections to targets.
     pub pool: Pool,
-    /// The memory for answers that are read whole.
+    /// The memory for answers and events that are being read.
     pub answer_memory: AnswerMemory,
     /// Counters and histograms.
     pub metrics: Metrics,
